--- a/hoplane/__init__.py
+++ b/hoplane/__init__.py
@@ -1,7 +1,7 @@
-"""asterrelay: the decisions of a router in front of split reading and writing model servers."""
+"""hoplane: the decisions of a router in front of split reading and writing model servers."""
 
-from asterrelay.interface import Settings
-from asterrelay.rules import Router
+from hoplane.decision.interface import Settings
+from hoplane.decision.rules import Router
 
 __all__ = ["Router", "Settings"]
 __version__ = "0.1.0"
--- a/hoplane/adapter.py
+++ b/hoplane/adapter.py
@@ -1,4 +1,4 @@
-"""The simulator's wire on standard input and output, to and from `asterrelay.interface`.
+"""The simulator's wire on standard input and output, to and from `hoplane.decision.interface`.
 
 Hosts any number of instances that share nothing. It translates and decides nothing.
 """
@@ -11,8 +11,8 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import TextIO
 
-from asterrelay import interface as api
-from asterrelay.rules import Router
+from hoplane.decision import interface as api
+from hoplane.decision.rules import Router
 
 Fields = dict[str, str]
 
@@ -421,7 +421,7 @@
     try:
         Host().run(lines, sys.stdout)
     except (WireError, ValueError) as error:
-        print(f"benchlink: line {lines.number}: {error}", file=sys.stderr)
+        print(f"adapter: line {lines.number}: {error}", file=sys.stderr)
         return 1
     return 0
 
--- /dev/null
+++ b/hoplane/decision/__init__.py
@@ -0,0 +1,1 @@
+"""The decision module: no I/O, integer nanoseconds."""
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -1,4 +1,4 @@
-"""Every decision of a router, and every table and tuned value; its interface is `asterrelay/interface.py`.
+"""Every decision of a router, and every table and tuned value; its interface is `interface.py`.
 
 Each send passes `send`, each end `finish`; `settle` sees to requests with no attempt out after each event.
 `docs/design.md` tells the mechanism (the paper's section 5) from the exceptions made to it."""
@@ -10,10 +10,10 @@
 from collections.abc import Callable, Iterable
 from statistics import median
 
-from asterrelay import interface as api
-from asterrelay.interface import Effect, Group, Role, State, Status
-from asterrelay.state import Attempt, Job, Mean, Rate, Ring, Row, Server, Servers, Timers, drop_before, mix
-from asterrelay.words import Symptom, Word
+from . import interface as api
+from .interface import Effect, Group, Role, State, Status
+from .state import Attempt, Job, Mean, Rate, Ring, Row, Server, Servers, Timers, drop_before, mix
+from .words import Symptom, Word
 
 MS, SECOND = 1_000_000, 1_000_000_000
 READERS, WRITERS = (Role.READ, Role.BOTH), (Role.WRITE, Role.BOTH)
--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 from zlib import crc32
 
-from asterrelay.interface import (
+from .interface import (
     ClassSettings,
     Entry,
     FirstToken,
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from asterrelay import interface as api
-from asterrelay.rules import Router
+from hoplane.decision import interface as api
+from hoplane.decision.rules import Router
 
 MS, S = 1_000_000, 1_000_000_000
 READER_A, READER_B, WRITER_A, WRITER_B, MIXED = 11, 12, 21, 22, 31
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from asterrelay import benchlink
-from asterrelay import interface as api
+from hoplane import adapter
+from hoplane.decision import interface as api
 
 CONF = (
     "allowed.attempts_cap=5 allowed.cancel=true balancers=2 family_info.duty_by_kind=read,write "
@@ -35,7 +35,7 @@
 
 def play(*batches):
     out = io.StringIO()
-    benchlink.Host().run(benchlink.Lines(io.StringIO("".join(batches))), out)
+    adapter.Host().run(adapter.Lines(io.StringIO("".join(batches))), out)
     return out.getvalue()
 
 
@@ -66,14 +66,14 @@
 
 
 def test_a_restart_within_a_batch_forgets_everything():
-    host = benchlink.Host()
+    host = adapter.Host()
     text = batch(START + ASK + "destroy router_id=router-1\n" + START)
-    host.run(benchlink.Lines(io.StringIO(text)), io.StringIO())
+    host.run(adapter.Lines(io.StringIO(text)), io.StringIO())
     assert host.routers["router-1"].jobs == {} and len(host.routers["router-1"].servers) == 2
 
 
 def test_settings_keep_the_interfaces_values_where_absent():
-    settings = benchlink.read_settings(benchlink.split_fields(CONF.split()))
+    settings = adapter.read_settings(adapter.split_fields(CONF.split()))
     assert settings.classes == (
         api.ClassSettings(
             "chat",
@@ -108,7 +108,7 @@
 )
 def test_each_event_is_translated(line, event):
     name, *fields = line.split()
-    assert benchlink.EVENTS[name](benchlink.split_fields(fields)) == event
+    assert adapter.EVENTS[name](adapter.split_fields(fields)) == event
 
 
 @pytest.mark.parametrize(
@@ -130,7 +130,7 @@
     ],
 )
 def test_each_action_is_written(action, line):
-    assert benchlink.write_action("r", action) == line
+    assert adapter.write_action("r", action) == line
 
 
 @pytest.mark.parametrize(
@@ -151,7 +151,7 @@
     ],
 )
 def test_what_is_malformed_is_told_plainly(text, line, word):
-    command = [sys.executable, "-m", "asterrelay.benchlink"]
+    command = [sys.executable, "-m", "hoplane.adapter"]
     run = subprocess.run(command, input=text, capture_output=True, text=True, check=False)
     assert run.returncode != 0 and run.stdout == ""
     assert len(run.stderr.splitlines()) == 1 and f"line {line}:" in run.stderr and word in run.stderr
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -3,8 +3,8 @@
 import pytest
 from conftest import FLEET, MS, READER_A, READER_B, WRITER_A, WRITER_B, Desk, S, entry
 
-from asterrelay import interface as api
-from asterrelay.interface import Status
+from hoplane.decision import interface as api
+from hoplane.decision.interface import Status
 
 MANY_READERS = tuple(entry(100 + n, "reader") for n in range(4)) + FLEET[2:]
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -7,10 +7,10 @@
 import pytest
 from conftest import FLEET, MS, READER_A, READER_B, WRITER_A, WRITER_B, Desk, S, entry
 
-from asterrelay import interface as api
-from asterrelay import rules
-from asterrelay.interface import Status
-from asterrelay.state import Mean
+from hoplane.decision import interface as api
+from hoplane.decision import rules
+from hoplane.decision.interface import Status
+from hoplane.decision.state import Mean
 
 LATER = {"prompt": 4000, "prefix_len": 3500, "session": "s", "prefix": "p"}
 
@@ -175,7 +175,7 @@
 
 SCRIPT = """
 from conftest import Desk, S, MS
-from asterrelay import interface as api
+from hoplane.decision import interface as api
 desk = Desk(seed=5)
 out = []
 for n in range(200):
--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -3,8 +3,8 @@
 import pytest
 from conftest import FLEET, MS, READER_A, READER_B, WRITER_A, WRITER_B, Desk, S, entry
 
-from asterrelay import interface as api
-from asterrelay.interface import Effect, Status
+from hoplane.decision import interface as api
+from hoplane.decision.interface import Effect, Status
 
 PROVEN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT)
 RISKY = (Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
