--- /dev/null
+++ b/hoplane/__main__.py
@@ -0,0 +1,61 @@
+"""Starts one conductor: `python -m hoplane`, or with a file of ours for the v2 front."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+from pathlib import Path
+
+from hoplane import config as configuration
+from hoplane import log
+from hoplane.config import Config, ConfigError
+from hoplane.fronts import platform
+from hoplane.net.discovery import Discovery
+from hoplane.net.runtime import Runtime
+
+
+async def serve(config: Config) -> None:
+    """Serve until a signal asks for the end, and then to the end of what was taken."""
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, stop.set)
+    runtime = Runtime(config, platform.hold_path)
+    front = platform.Platform(config, runtime)
+    watch = Discovery(
+        runtime.pool, "{}:{}".format(*config.discovery), platform.read_list, runtime.feed
+    )
+    if config.known.get("endpoints"):
+        try:
+            watch.take({**config.known, "snapshot": True})
+        except ValueError as error:
+            raise ConfigError(f"known: {error}") from None
+    watching = asyncio.create_task(watch.watch())
+    await front.server.start()
+    gc.collect()
+    gc.freeze()  # what lives from the start to the end need not be looked at again and again
+    log.say("started", name=config.name, listen="{}:{}".format(*config.listen), pid=os.getpid())
+    await stop.wait()
+    log.say("stopping", open=front.server.open)
+    await front.server.stop()
+    await runtime.rest()
+    watching.cancel()
+    await runtime.pool.close()
+    log.say("stopped")
+
+
+def main(arguments: list[str]) -> int:
+    """Read the configuration and serve."""
+    try:
+        config = configuration.load(os.environ, Path(arguments[0]) if arguments else None)
+        asyncio.run(serve(config))
+    except ConfigError as error:
+        log.say("bad_configuration", error=str(error))
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/hoplane/config.py
@@ -0,0 +1,205 @@
+"""The one place where configuration is read, checked and given defaults; errors name the key."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from pathlib import Path
+
+import orjson
+
+from hoplane.adapter import WireError, read_settings
+from hoplane.decision.interface import Settings
+
+MEGABYTE = 1 << 20
+BODY_MOST = 256 * 1024  # the protocol's bound on a body
+
+
+class ConfigError(Exception):
+    """What is wrong, with the key in front."""
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What the process may use."""
+
+    memory: int
+    sockets: int
+
+    @property
+    def clients(self) -> int:
+        """Client connections; each may need one to an endpoint, and some must stay for the rest."""
+        return max(16, (self.sockets - 32) * 45 // 100)
+
+    @property
+    def upstreams(self) -> int:
+        """Connections to endpoints, idle ones included."""
+        return max(16, (self.sockets - 32) * 50 // 100)
+
+    @property
+    def bodies(self) -> int:
+        """Bytes of request bodies held at once, counted twice for the copies on their way out."""
+        return max(BODY_MOST, self.memory // 8)
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """All that a conductor is told."""
+
+    name: str
+    listen: tuple[str, int]
+    settings: Settings
+    seed: int
+    limits: Limits
+    discovery: tuple[str, int] | None = None
+    known: dict = field(default_factory=dict)
+    connect_timeout: timedelta = timedelta(milliseconds=250)
+    conn_idle: timedelta = timedelta(seconds=15)
+    max_open: int = 20_000
+    files: tuple[Path, ...] = ()  # clusters and endpoints in xDS form, for the v2 front
+
+
+def load(environ: Mapping[str, str], file: Path | None = None) -> Config:
+    """Read what the platform tells, or a file of ours for the v2 front."""
+    if file is not None:
+        return from_file(file)
+    try:
+        raw = orjson.loads(Path(environ.get("EDGE_CONFIG", "")).read_bytes())
+    except (OSError, orjson.JSONDecodeError) as error:
+        raise ConfigError(f"EDGE_CONFIG: {error}") from None
+    if not isinstance(raw, dict):
+        raise ConfigError("EDGE_CONFIG: must be an object")
+    for key, name in (("name", "EDGE_NAME"), ("listen", "EDGE_LISTEN"), ("discovery", "EDGE_DISCOVERY")):
+        if environ.get(name):
+            raw[key] = environ[name]
+    return platform(raw)
+
+
+def platform(raw: dict) -> Config:
+    """Check the platform's configuration."""
+    told = group(raw, "settings", needed=True)
+    allowed = group(told, "allowed", "settings.")
+    return Config(
+        name=text(raw, "name"),
+        listen=address(raw, "listen"),
+        discovery=address(raw, "discovery"),
+        settings=settings(told, "settings."),
+        seed=seed(raw.get("seed", 0)),
+        limits=limits(group(raw, "limits")),
+        known=group(raw, "known"),
+        connect_timeout=nanoseconds(allowed, "connect_timeout", 250_000_000, "settings.allowed."),
+        conn_idle=nanoseconds(allowed, "conn_idle", 15_000_000_000, "settings.allowed."),
+        max_open=whole(allowed, "max_open", 20_000, 1, "settings.allowed."),
+    )
+
+
+def from_file(path: Path) -> Config:
+    """Check a file of ours, in TOML; relative paths in it count from its folder."""
+    try:
+        raw = tomllib.loads(path.read_text())
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
+        raise ConfigError(f"{path.name}: {error}") from None
+    files = group(raw, "xds", needed=True)
+    told = group(raw, "settings", needed=True)
+    upstream = group(raw, "upstream")
+    return Config(
+        name=text(raw, "name"),
+        listen=address(raw, "listen"),
+        settings=settings(told, "settings."),
+        seed=seed(raw.get("seed", 0)),
+        limits=limits(group(raw, "limits")),
+        connect_timeout=milliseconds(upstream, "connect_timeout_ms", 250, "upstream."),
+        conn_idle=milliseconds(upstream, "idle_ms", 15_000, "upstream."),
+        files=tuple(path.parent / text(files, key, "xds.") for key in ("clusters", "endpoints")),
+    )
+
+
+def settings(told: dict, where: str) -> Settings:
+    """Check the settings, whose names and units are the simulator's."""
+    try:
+        return read_settings(dict(flatten(told)))
+    except (WireError, ValueError) as error:
+        raise ConfigError(f"{where}{error}") from None
+
+
+def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
+    """Give nested settings as the simulator's wire writes them."""
+    if isinstance(value, dict):
+        for key, each in value.items():
+            yield from flatten(each, f"{path}.{key}" if path else key)
+    elif isinstance(value, list) and value and all(isinstance(each, dict) for each in value):
+        yield f"{path}.count", str(len(value))
+        for index, each in enumerate(value):
+            yield from flatten(each, f"{path}.{index}")
+    elif isinstance(value, list):
+        yield path, ",".join(map(str, value))
+    elif isinstance(value, bool):
+        yield path, "1" if value else "0"
+    elif value is not None:
+        yield path, str(value)
+
+
+def limits(raw: dict) -> Limits:
+    """Check the limits."""
+    return Limits(
+        memory=whole(raw, "memory_mb", 192, 96, "limits.") * MEGABYTE,
+        sockets=whole(raw, "sockets", 1024, 64, "limits."),
+    )
+
+
+def group(raw: dict, key: str, where: str = "", needed: bool = False) -> dict:
+    """Give a part that must be an object, empty where it may be left out."""
+    value = raw.get(key)
+    if value is None and not needed:
+        return {}
+    if not isinstance(value, dict):
+        raise ConfigError(f"{where}{key}: " + ("is missing" if value is None else "must be an object"))
+    return value
+
+
+def text(raw: dict, key: str, where: str = "") -> str:
+    """Give a text that must be there."""
+    value = raw.get(key)
+    if not isinstance(value, str) or not value:
+        raise ConfigError(f"{where}{key}: " + ("is missing" if value is None else "must be a text"))
+    return value
+
+
+def whole(raw: dict, key: str, default: int, least: int, where: str = "") -> int:
+    """Give a whole number with a least value."""
+    value = raw.get(key, default)
+    if not isinstance(value, int | float) or isinstance(value, bool) or value != int(value):
+        raise ConfigError(f"{where}{key}: must be a whole number")
+    if value < least:
+        raise ConfigError(f"{where}{key}: must be at least {least}")
+    return int(value)
+
+
+def nanoseconds(raw: dict, key: str, default: int, where: str) -> timedelta:
+    """Give a span that is written in nanoseconds."""
+    return timedelta(microseconds=whole(raw, key, default, 1, where) / 1000)
+
+
+def milliseconds(raw: dict, key: str, default: int, where: str) -> timedelta:
+    """Give a span that is written in milliseconds."""
+    return timedelta(milliseconds=whole(raw, key, default, 1, where))
+
+
+def address(raw: dict, key: str) -> tuple[str, int]:
+    """Give a host and port."""
+    host, sign, port = text(raw, key).rpartition(":")
+    if not sign or not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ConfigError(f"{key}: must be HOST:PORT")
+    return host.strip("[]"), int(port)
+
+
+def seed(value: object) -> int:
+    """Give the seed, which is told in hex."""
+    try:
+        return value if isinstance(value, int) else int(str(value), 16)
+    except ValueError:
+        raise ConfigError("seed: must be a number in hex") from None
+
+
--- /dev/null
+++ b/hoplane/core/events.py
@@ -0,0 +1,176 @@
+"""What goes into the reducer and the effects that it asks for. Plain data; nothing happens here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from hoplane.decision.interface import State, Status
+
+ZERO = timedelta()
+
+
+@dataclass(slots=True, frozen=True)
+class Endpoint:
+    """A model server as discovery tells it; `started` is on the reducer's clock, zero for long ago."""
+
+    name: str
+    address: str
+    zone: str
+    kind: str
+    cell: int
+    state: State
+    weight: float = 1.0
+    started: timedelta = ZERO
+
+
+# --- events
+
+
+@dataclass(slots=True, frozen=True)
+class Asked:
+    """A client's request, taken: one final answer is owed. `once` is the id under which it may run once."""
+
+    id: str
+    cls: str
+    prompt: int
+    max_out: int
+    patience: timedelta
+    session: str | None = None
+    prefix: str | None = None
+    prefix_len: int = 0
+    tenant: str | None = None
+    retry: bool = False
+    resumed: bool = False
+    once: str | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Left:
+    """The client is gone."""
+
+    id: str
+
+
+@dataclass(slots=True, frozen=True)
+class Began:
+    """The first event of an attempt's answer is being passed on."""
+
+    id: str
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    """An attempt is over, and its connection free or closed."""
+
+    id: str
+    attempt: int
+    status: Status
+    note: int = 0
+    load: dict[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class HoldAnswered:
+    """What came of a hold: held, not held, or (None) not known."""
+
+    id: str
+    attempt: int
+    held: bool | None
+
+
+@dataclass(slots=True, frozen=True)
+class Due:
+    """A timer asked for with Wake has come."""
+
+    timer: object
+
+
+@dataclass(slots=True, frozen=True)
+class Listed:
+    """The list of endpoints, whole or the entries that changed."""
+
+    endpoints: tuple[Endpoint, ...]
+    whole: bool
+
+
+Event = Asked | Left | Began | Ended | HoldAnswered | Due | Listed
+
+
+# --- effects
+
+
+@dataclass(slots=True, frozen=True)
+class Forward:
+    """Open an attempt: send the request to an endpoint, which is told `patience`."""
+
+    id: str
+    attempt: int
+    endpoint: Endpoint
+    patience: timedelta
+    reads: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Abandon:
+    """Give an attempt up by closing its connection; its Ended is still awaited."""
+
+    id: str
+    attempt: int
+
+
+@dataclass(slots=True, frozen=True)
+class AskHold:
+    """Ask an endpoint to hold a place, once the reading attempt's last byte is out."""
+
+    id: str
+    attempt: int
+    endpoint: Endpoint
+
+
+@dataclass(slots=True, frozen=True)
+class LetGo:
+    """Release what is held for a request; any endpoint takes the call, the likeliest come first."""
+
+    id: str
+    endpoints: tuple[Endpoint, ...]
+    within: timedelta
+    wait: timedelta = ZERO
+
+
+@dataclass(slots=True, frozen=True)
+class Refuse:
+    """Final answer: refused, trying again is harmless, after a pause."""
+
+    id: str
+    pause: timedelta
+    why: str
+
+
+@dataclass(slots=True, frozen=True)
+class Fail:
+    """Final answer: failed, nothing is promised. `clash`: its id may have run before."""
+
+    id: str
+    why: str
+    clash: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Wake:
+    """Feed a Due back at a clock time."""
+
+    at: timedelta
+    timer: object
+
+
+@dataclass(slots=True, frozen=True)
+class Say:
+    """A line for the log."""
+
+    event: str
+    facts: dict[str, object]
+
+
+Effect = Forward | Abandon | AskHold | LetGo | Refuse | Fail | Wake | Say
--- /dev/null
+++ b/hoplane/core/reducer.py
@@ -0,0 +1,330 @@
+"""The one reducer: every change of request, attempt, hold and fleet state happens here."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import timedelta
+from zlib import crc32
+
+from hoplane.core import events as ev
+from hoplane.core.border import to_ns, to_span
+from hoplane.core.ledger import Ledger
+from hoplane.decision import interface as api
+from hoplane.decision.interface import Status
+from hoplane.decision.rules import Router
+
+MAY_HAVE_RUN = (Status.OK, Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
+SETTLE = timedelta(milliseconds=15)  # a release waits so long after a read was cut off: the close goes ahead
+HELD = timedelta(milliseconds=500)  # how long a release is tried where the settings name no limit
+LEDGER_MOST, LEDGER_KEEP = 50_000, timedelta(minutes=10)
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One send of a request."""
+
+    server: int
+    reads: bool
+    sent: timedelta
+    began: bool = False
+    over: bool = False
+    abandoned: Status | None = None  # how it counts once its connection is closed
+
+
+@dataclass(slots=True)
+class Request:
+    """A request taken, until its last attempt and hold are in."""
+
+    asked: ev.Asked
+    deadline: timedelta
+    attempts: list[Attempt] = field(default_factory=list)
+    began: bool = False
+    closed: bool = False  # the client has its answer, is getting it, or is gone
+    holds: int = 0  # calls out that ask for a place
+    held_at: int | None = None  # the writer that was asked last
+    cut: bool = False  # a read was cut off: what it left may show up a moment later
+    may_have_run: bool = False
+
+
+@dataclass
+class Conductor:
+    """The state that `reduce` changes."""
+
+    settings: api.Settings
+    router: Router
+    requests: dict[str, Request] = field(default_factory=dict)
+    numbers: dict[str, int] = field(default_factory=dict)  # the module's server numbers, by name
+    fleet: dict[int, ev.Endpoint] = field(default_factory=dict)
+    ledger: Ledger = field(default_factory=lambda: Ledger(LEDGER_MOST, LEDGER_KEEP))
+
+    @classmethod
+    def new(cls, settings: api.Settings, seed: int) -> Conductor:
+        """Give a conductor that knows no endpoint yet."""
+        return cls(settings, Router(settings, seed))
+
+    def number(self, name: str) -> int:
+        """Give an endpoint's number: the same at every conductor, as the module's ring hashes it."""
+        if name not in self.numbers:
+            number, taken = crc32(name.encode()), set(self.numbers.values())
+            while number in taken:
+                number += 1
+            self.numbers[name] = number
+        return self.numbers[name]
+
+
+def reduce(state: Conductor, now: timedelta, event: ev.Event) -> list[ev.Effect]:
+    """Take an event in and give the effects that it calls for, in order."""
+    return list(HANDLERS[type(event)](state, now, event))
+
+
+def decide(state: Conductor, now: timedelta, event: api.Event) -> Iterator[ev.Effect]:
+    """Let the module decide, and turn its actions into effects; what it sent in vain is told at once."""
+    pending = [event]
+    while pending:
+        for action in state.router.handle(to_ns(now), pending.pop(0)):
+            if type(action) is api.Send:
+                moot = yield from send(state, now, action)
+                pending.extend(moot)
+            elif handler := ACTIONS.get(type(action)):
+                yield from handler(state, now, action)
+
+
+# --- events
+
+
+def on_asked(state: Conductor, now: timedelta, event: ev.Asked) -> Iterator[ev.Effect]:
+    """Take a request, unless its id is in use or may have run."""
+    once = event.once
+    if event.id in state.requests or (once and state.ledger.clashes(once, now)):
+        yield ev.Fail(event.id, "its id is running or may have run", clash=True)
+        return
+    if once and state.ledger.full:
+        yield ev.Refuse(event.id, timedelta(seconds=1), "the ledger of ids is full")
+        return
+    if once:
+        state.ledger.start(once)
+    state.requests[event.id] = Request(event, now + event.patience)
+    yield ev.Wake(now + event.patience, (event.id, "deadline"))
+    yield from decide(state, now, api.Request(
+        event.id, event.cls, event.prompt, event.max_out, to_ns(event.patience),
+        event.session, event.prefix, event.prefix_len, None, event.tenant, event.retry, event.resumed,
+    ))
+    yield from sweep_up(state, now, event.id)
+
+
+def on_left(state: Conductor, now: timedelta, event: ev.Left) -> Iterator[ev.Effect]:
+    """Owe nothing to a client that is gone, and end what is out for it, a stream too."""
+    request = state.requests.get(event.id)
+    if request is None:
+        return
+    told = not request.closed
+    request.closed = True
+    if told:
+        yield from decide(state, now, api.Gone(event.id))
+    for index in range(len(request.attempts)):
+        yield from abandon(request, index, Status.CANCELLED)
+    yield from sweep_up(state, now, event.id)
+
+
+def on_began(state: Conductor, now: timedelta, event: ev.Began) -> Iterator[ev.Effect]:
+    """Bind the answer to the client: the deadline runs no more from here on."""
+    request = state.requests.get(event.id)
+    if request is None or request.closed:
+        return
+    attempt = request.attempts[event.attempt]
+    attempt.began = request.began = True
+    yield from decide(state, now, api.FirstToken(
+        event.id, event.attempt, attempt.server, to_ns(now - attempt.sent)
+    ))
+
+
+def on_ended(state: Conductor, now: timedelta, event: ev.Ended) -> Iterator[ev.Effect]:
+    """Book an attempt as over and let the module go on."""
+    request = state.requests.get(event.id)
+    if request is None or request.attempts[event.attempt].over:
+        return
+    attempt = request.attempts[event.attempt]
+    status = event.status
+    if status is Status.CANCELLED and attempt.abandoned is not None:
+        status = attempt.abandoned
+    attempt.over = True
+    if attempt.began or status is Status.OK:
+        request.closed = True
+    if attempt.reads and status in MAY_HAVE_RUN:
+        request.cut = True
+    if not attempt.reads and status in MAY_HAVE_RUN:
+        request.may_have_run = True
+    yield from decide(state, now, api.Outcome(
+        event.id, event.attempt, attempt.server, status, to_ns(now - attempt.sent),
+        request.closed, event.note, event.load,
+    ))
+    yield from sweep_up(state, now, event.id)
+
+
+def on_hold_answered(state: Conductor, now: timedelta, event: ev.HoldAnswered) -> Iterator[ev.Effect]:
+    """Tell the module of a place while the read is out; one that comes too late is let go."""
+    request = state.requests.get(event.id)
+    if request is None:
+        return
+    request.holds -= 1
+    attempt = request.attempts[event.attempt]
+    if event.held is not None and not attempt.over:
+        yield from decide(state, now, api.Place(event.id, event.attempt, attempt.server, event.held))
+    elif request.closed and not request.began and event.held is not False:
+        yield let_go(state, request)
+    yield from sweep_up(state, now, event.id)
+
+
+def on_due(state: Conductor, now: timedelta, event: ev.Due) -> Iterator[ev.Effect]:
+    """Fire the module's timer, or one of ours: an attempt's time-out or the client's deadline."""
+    if isinstance(event.timer, int):
+        yield from decide(state, now, api.Timer(event.timer))
+        return
+    id, what = event.timer
+    request = state.requests.get(id)
+    if request is None or request.began:
+        return
+    if what != "deadline":
+        yield from abandon(request, what, Status.TIMEOUT)
+    elif not request.closed:
+        # Guards against a module that forgets a request: its time-outs come first, so this is the last word.
+        for index in range(len(request.attempts)):
+            yield from abandon(request, index, Status.TIMEOUT)
+        yield from fail(state, now, api.Fail(id))
+    yield from sweep_up(state, now, id)
+
+
+def on_listed(state: Conductor, now: timedelta, event: ev.Listed) -> Iterator[ev.Effect]:
+    """Bring the fleet level. An endpoint of a kind that the settings do not name is left out."""
+    kinds = {kind.name for kind in state.settings.kinds}
+    known = {state.number(each.name): each for each in event.endpoints if each.kind in kinds}
+    if event.whole:
+        for number in set(state.fleet) - set(known):
+            del state.fleet[number]
+    state.fleet.update(known)
+    for number, each in known.items():
+        if each.state is api.State.GONE:
+            del state.fleet[number]
+    entries = tuple(
+        api.Entry(number, each.kind, each.zone, each.cell, each.state, each.weight, to_ns(each.started))
+        for number, each in known.items()
+    )
+    states = {each.name: each.state.value for each in known.values() if each.state is not api.State.LIVE}
+    yield ev.Say("endpoints", {"whole": event.whole, "known": len(state.fleet), "not_live": states})
+    yield from decide(state, now, api.Fleet(entries, event.whole))
+
+
+HANDLERS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
+    ev.Asked: on_asked, ev.Left: on_left, ev.Began: on_began, ev.Ended: on_ended,
+    ev.HoldAnswered: on_hold_answered, ev.Due: on_due, ev.Listed: on_listed,
+}
+
+
+# --- actions
+
+
+def send(state: Conductor, now: timedelta, action: api.Send):
+    """Open an attempt; gives the outcome at once where it cannot be opened."""
+    request, endpoint = state.requests.get(action.request), state.fleet.get(action.server)
+    if request is None:
+        return []
+    index, cap = len(request.attempts), state.settings.max_attempts
+    role = next((k.role for k in state.settings.kinds if endpoint and k.name == endpoint.kind), None)
+    request.attempts.append(Attempt(action.server, role is api.Role.READ, now))
+    if request.closed or request.began or now >= request.deadline or (cap and index >= cap):
+        status = Status.MOOT
+    elif endpoint is None:
+        status = Status.CONNECT_FAILED
+    else:
+        patience = request.deadline - now
+        if action.timeout and (own := to_span(action.timeout)) < patience:
+            patience = own
+            yield ev.Wake(now + own, (action.request, index))
+        yield ev.Forward(action.request, index, endpoint, patience, role is api.Role.READ)
+        return []
+    request.attempts[index].over = True
+    return [api.Outcome(action.request, index, action.server, status, 0, request.closed)]
+
+
+def hold(state: Conductor, now: timedelta, action: api.Hold) -> Iterator[ev.Effect]:
+    """Ask for a place during the read that is out."""
+    request, endpoint = state.requests.get(action.request), state.fleet.get(action.server)
+    if request is None or endpoint is None or not request.attempts or request.attempts[-1].over:
+        return
+    request.holds += 1
+    request.held_at = action.server
+    yield ev.AskHold(action.request, len(request.attempts) - 1, endpoint)
+
+
+def release(state: Conductor, now: timedelta, action: api.Release) -> Iterator[ev.Effect]:
+    """Let go of what is held. A stream that has begun has let go of all by itself."""
+    request = state.requests.get(action.request)
+    if request is not None and not request.began:
+        yield let_go(state, request)
+
+
+def cancel(state: Conductor, now: timedelta, action: api.Cancel) -> Iterator[ev.Effect]:
+    """Give an attempt up, unless its stream has begun."""
+    request = state.requests.get(action.request)
+    if request is not None and not request.attempts[action.attempt].began:
+        yield from abandon(request, action.attempt, Status.CANCELLED)
+
+
+def refuse(state: Conductor, now: timedelta, action: api.Refuse) -> Iterator[ev.Effect]:
+    """Give the final answer: refused."""
+    request = state.requests.get(action.request)
+    if request is not None and not request.closed:
+        request.closed = True
+        yield ev.Refuse(action.request, to_span(action.pause), "given up by the module")
+
+
+def fail(state: Conductor, now: timedelta, action: api.Fail) -> Iterator[ev.Effect]:
+    """Give the final answer: failed."""
+    request = state.requests.get(action.request)
+    if request is not None and not request.closed:
+        request.closed = True
+        yield ev.Fail(action.request, "it may have run and may not run again, or its time is over")
+
+
+ACTIONS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
+    api.Hold: hold, api.Release: release, api.Cancel: cancel, api.Refuse: refuse, api.Fail: fail,
+    api.SetTimer: lambda state, now, action: [ev.Wake(to_span(action.at), action.timer)],
+    api.Log: lambda state, now, action: [ev.Say("module", {"text": action.text})],
+}
+
+
+# --- helpers
+
+
+def abandon(request: Request, index: int, status: Status) -> Iterator[ev.Effect]:
+    """Close an attempt's connection; it counts as given up with this status."""
+    attempt = request.attempts[index]
+    if not attempt.over and attempt.abandoned is None:
+        attempt.abandoned = status
+        yield ev.Abandon(request.asked.id, index)
+
+
+def let_go(state: Conductor, request: Request) -> ev.LetGo:
+    """Ask for a release: at the endpoints that had part in the request first, then at any other."""
+    numbers = [attempt.server for attempt in reversed(request.attempts)]
+    if request.held_at is not None:
+        numbers.append(request.held_at)
+    order = [n for n in dict.fromkeys([*numbers, *state.fleet]) if n in state.fleet]
+    release_within = state.settings.release_within
+    within = HELD if release_within is None else to_span(release_within)
+    endpoints = tuple(state.fleet[n] for n in order)
+    return ev.LetGo(request.asked.id, endpoints, within, SETTLE if request.cut else ev.ZERO)
+
+
+def sweep_up(state: Conductor, now: timedelta, id: str) -> Iterator[ev.Effect]:
+    """Forget a request whose answer is given and that has nothing out any more."""
+    request = state.requests.get(id)
+    if request is None or not request.closed or request.holds:
+        return
+    if any(not attempt.over for attempt in request.attempts):
+        return
+    del state.requests[id]
+    if request.asked.once:
+        state.ledger.end(request.asked.once, now, request.may_have_run)
+    yield from ()
--- /dev/null
+++ b/hoplane/fronts/platform.py
@@ -0,0 +1,206 @@
+"""The platform's protocol: HTTP/1.1 with headers for facts and streams of events for answers."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import Mapping
+from datetime import timedelta
+
+import orjson
+from aiohttp import web
+
+from hoplane.config import Config
+from hoplane.core.events import Asked, Endpoint, Forward, Left, Listed
+from hoplane.decision.interface import State, Status
+from hoplane.net.runtime import Runtime
+from hoplane.net.server import Relay, Server, StreamSink, problem, retry_after
+from hoplane.net.wire import Call, Verdict
+
+CHAT, READY = "/v1/chat/completions", "/health/ready"
+ID, CLASS, SESSION = "X-Correlation-Id", "X-Service-Class", "X-Session-Key"
+LEFT_MS, FACTS, REPEAT = "X-Time-Left-Ms", "X-Facts", "X-Repeat"
+LOAD, NOT_RUN = "X-Backend-Load", "X-Unprocessed"
+STATES = {"Ready": State.LIVE, "Terminating": State.DRAINING, "Gone": State.GONE}
+MARGIN = timedelta(milliseconds=20)  # of a client's patience, for the answer's way and a busy loop
+ID_FORM = re.compile(r"[A-Za-z0-9_.:-]{1,128}")
+CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d+)')
+LOAD_LINE = re.compile(rb"^: ?" + LOAD.encode() + rb": ?([^\r\n]*)", re.MULTILINE | re.IGNORECASE)
+
+
+def hold_path(id: str) -> str:
+    """Give the path of the calls that hold a place and release what is held."""
+    return f"/v1/holds/{id}"
+
+
+def read_list(answer: dict, zero: timedelta = timedelta()) -> Listed:
+    """Translate discovery's list."""
+    try:
+        endpoints = tuple(
+            Endpoint(
+                each["name"], each["address"], each["zone"], each["type"], int(each["group"]),
+                STATES[each["status"]], float(each.get("weight", 1.0)),
+                timedelta(milliseconds=each.get("since_ms", 0)),
+            )
+            for each in answer["endpoints"]
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise ValueError(f"the list is malformed: {error!r}") from None
+    return Listed(endpoints, bool(answer.get("snapshot")))
+
+
+def read_load(text: str) -> dict[str, float]:
+    """Translate a load report; what is no figure is left out."""
+    load = {}
+    for pair in text.split(","):
+        name, _, value = pair.strip().partition("=")
+        try:
+            load[name] = float(value)
+        except ValueError:
+            continue
+    return load
+
+
+def read_asked(headers: Mapping[str, str], classes: Mapping[str, object]) -> Asked:
+    """Translate a request's headers; a ValueError names what is wrong."""
+    id, cls = headers.get(ID, ""), headers.get(CLASS, "")
+    if not ID_FORM.fullmatch(id):
+        raise ValueError(f"{ID}: is missing or malformed")
+    if cls not in classes:
+        raise ValueError(f"{CLASS}: is not a class of this service")
+    left = headers.get(LEFT_MS, "")
+    if not (left.isascii() and left.isdecimal()) or len(left) > 9:
+        raise ValueError(f"{LEFT_MS}: must be whole milliseconds")
+    pairs = (pair.strip().partition("=") for pair in headers.get(FACTS, "").split(","))
+    facts = {name: value for name, _, value in pairs if name}
+    lengths = {}
+    for name in ("prompt_len", "prefix_len", "max_out"):
+        value = facts.get(name, "0" if name == "prefix_len" else "")
+        if not (value.isascii() and value.isdecimal()) or len(value) > 9:
+            raise ValueError(f"{FACTS}: {name} must be a whole number")
+        lengths[name] = int(value)
+    repeat = headers.get(REPEAT)
+    return Asked(
+        id, cls, lengths["prompt_len"], lengths["max_out"],
+        max(timedelta(), timedelta(milliseconds=int(left)) - MARGIN),
+        headers.get(SESSION) or None, facts.get("prefix") or None, lengths["prefix_len"],
+        None, repeat is not None and repeat != "again", repeat == "again",
+    )
+
+
+def read_head(status: int, headers: Mapping[str, str], body: bytes) -> Verdict:
+    """Tell what an endpoint's answer means; what is not known for sure may have run."""
+    load = read_load(headers.get(LOAD, ""))
+    unprocessed = headers.get(NOT_RUN) == "1"
+    if status == 200:
+        return Verdict(None, 0, load)
+    if status == 202:
+        return Verdict(Status.MISS, cached(body), load)
+    if unprocessed and status in (410, 503, 504):
+        return Verdict(Status.FULL, int(status == 410), load)
+    return Verdict(Status.ERROR, 0, load)
+
+
+def cached(data: bytes) -> int:
+    """Give how many tokens were found kept, as told last."""
+    found = CACHED.findall(data)
+    return int(found[-1]) if found else 0
+
+
+class Exchange:
+    """One client's request on this front."""
+
+    def __init__(self, request: web.BaseRequest, asked: Asked, body: bytes) -> None:
+        self.asked, self.body = asked, body
+        self.method, self.path = request.method, request.raw_path
+        self.kind = request.headers.get("Content-Type", "application/json")
+        self.done: asyncio.Future = asyncio.get_running_loop().create_future()
+        response = Relay(headers={"Content-Type": "text/event-stream", "Cache-Control": "no-cache"})
+        response.enable_chunked_encoding()
+        self.response = response
+        self.sink = StreamSink(request, response, self.done)
+
+    def call(self, forward: Forward) -> Call:
+        left = max(1, forward.patience // timedelta(milliseconds=1))
+        headers = {ID: self.asked.id, LEFT_MS: str(left), "Content-Type": self.kind}
+        return Call(self.method, self.path, headers, self.body)
+
+    def read_head(self, status: int, headers: Mapping[str, str], body: bytes) -> Verdict:
+        return read_head(status, headers, body)
+
+    def read_tail(self, tail: bytes) -> tuple[int, dict[str, float]]:
+        """Give what a stream's end tells: tokens found kept, and a load report in a comment."""
+        lines = LOAD_LINE.findall(tail)
+        return cached(tail), read_load(lines[-1].decode("latin-1")) if lines else {}
+
+    def refuse(self, pause: timedelta) -> None:
+        self.answer(web.Response(status=503, headers={"Retry-After": retry_after(pause)}, text="refused\n"))
+
+    def fail(self, clash: bool) -> None:
+        self.answer(problem(409, "this id is in use") if clash else problem(502, "failed"))
+
+    def answer(self, response: web.Response) -> None:
+        if not self.done.done():
+            self.done.set_result(response)
+
+
+class Platform:
+    """The front that the platform's clients speak to."""
+
+    def __init__(self, config: Config, runtime: Runtime) -> None:
+        self.config, self.runtime = config, runtime
+        self.classes = {cls.name: cls for cls in config.settings.classes}
+        self.server = Server(config, self.handle)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request."""
+        if request.path == READY:
+            return web.Response(status=503 if self.server.stopping else 200)
+        if request.path != CHAT:
+            return problem(404, "unknown path")
+        if request.method != "POST":
+            return problem(405, "only POST")
+        size = request.content_length or 0
+        if not self.server.bodies.take(size):
+            return self.busy()
+        try:
+            return await self.chat(request)
+        finally:
+            self.server.bodies.give(size)
+
+    def busy(self) -> web.Response:
+        """Refuse before a limit is met."""
+        response = web.Response(status=503, headers={"Retry-After": "1"}, text="too much at once\n")
+        response.force_close()
+        return response
+
+    async def chat(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Take a request in and wait for its final answer."""
+        try:
+            asked = read_asked(request.headers, self.classes)
+        except ValueError as error:
+            return problem(400, str(error))
+        body = await self.server.read(request)
+        if isinstance(body, web.Response):
+            return body
+        try:
+            if not isinstance(orjson.loads(body), dict):
+                return problem(400, "the body must be a JSON object")
+        except orjson.JSONDecodeError:
+            return problem(400, "the body is not JSON")
+        runtime = self.runtime
+        if asked.id in runtime.exchanges:
+            return problem(409, "this id is in use")
+        if len(runtime.exchanges) >= self.config.max_open:
+            return self.busy()
+        exchange = runtime.exchanges[asked.id] = Exchange(request, asked, body)
+        if self.server.stopping:
+            exchange.response.force_close()
+        try:
+            runtime.feed(asked)
+            return await exchange.done
+        except asyncio.CancelledError:
+            runtime.feed(Left(asked.id))
+            raise
+        finally:
+            del runtime.exchanges[asked.id]
--- /dev/null
+++ b/hoplane/log.py
@@ -0,0 +1,14 @@
+"""The log: one JSON line an event, on standard error."""
+
+from __future__ import annotations
+
+import os
+from datetime import UTC, datetime
+
+import orjson
+
+
+def say(event: str, **facts: object) -> None:
+    """Write a line; the page docs/on-call.md tells what each event means."""
+    line = {"at": datetime.now(UTC), "event": event, **facts}
+    os.write(2, orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
--- /dev/null
+++ b/hoplane/net/discovery.py
@@ -0,0 +1,64 @@
+"""Watches discovery; what it tells goes to the core as it comes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from datetime import timedelta
+
+import aiohttp
+import orjson
+
+from hoplane import log
+from hoplane.core.events import Listed
+from hoplane.net.pool import Pool
+
+WAIT = timedelta(seconds=5)  # that discovery may hold a watch open
+PATIENCE = WAIT + timedelta(seconds=1.5)  # that we wait for its answer, as a cut connection gives no sign
+PAUSE = timedelta(milliseconds=60)  # after a failed call: the next must come within 200 ms
+
+
+class Discovery:
+    """One watch that goes on for ever, from a version that is known."""
+
+    def __init__(self, pool: Pool, address: str, read: Callable[[dict], Listed], feed: Callable) -> None:
+        self.pool, self.address, self.read, self.feed = pool, address, read, feed
+        self.index: int | None = None
+        self.failing = False
+
+    def take(self, answer: object) -> None:
+        """Take an answer in: a whole list replaces all, changes apply to a list we have."""
+        if not isinstance(answer, dict) or not isinstance(answer.get("index"), int):
+            raise ValueError("the list has no index")
+        whole = bool(answer.get("snapshot"))
+        if not whole and self.index is not None and answer["index"] < self.index:
+            # Guards against an agent that started anew: its changes belong to a list that we do not have.
+            self.index = None
+            return
+        listed = self.read(answer)
+        self.index = answer["index"]
+        if whole or listed.endpoints:
+            self.feed(listed)
+
+    async def watch(self) -> None:
+        """Watch until cancelled."""
+        while True:
+            path = "/registry/instances"
+            if self.index is not None:
+                path += f"?since={self.index}&timeout_ms={WAIT // timedelta(milliseconds=1)}"
+            try:
+                async with asyncio.timeout(PATIENCE.total_seconds()):
+                    async with self.pool.request("GET", self.address, path) as answer:
+                        body = await answer.read()
+                if answer.status != 200:
+                    raise ValueError(f"status {answer.status}")
+                self.take(orjson.loads(body))
+            except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+                if not self.failing:
+                    log.say("discovery_lost", error=repr(error))
+                self.failing = True
+                await asyncio.sleep(PAUSE.total_seconds())
+                continue
+            if self.failing:
+                log.say("discovery_back", index=self.index)
+            self.failing = False
--- /dev/null
+++ b/hoplane/net/pool.py
@@ -0,0 +1,95 @@
+"""Connections to endpoints: aiohttp's client with its defaults set for this protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from contextlib import suppress
+from datetime import timedelta
+from weakref import WeakSet
+
+import aiohttp
+from aiohttp import TraceConfig
+
+from hoplane.config import Config
+
+IDLE_SHARE = 0.5  # of the endpoints' idle time: what is written to a connection later may end as a reset
+
+
+class Full(aiohttp.ClientConnectionError):
+    """No socket is left for another connection."""
+
+
+class Pool:
+    """A client session that never waits for a connection, resends nothing and counts its sockets."""
+
+    def __init__(self, config: Config) -> None:
+        self.most, self.sockets = config.limits.upstreams, WeakSet()
+        # Guards against aiohttp's total of 100, past which attempts would wait unseen: we count ourselves.
+        self.connector = aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=(config.conn_idle * IDLE_SHARE).total_seconds(),
+            use_dns_cache=False,
+            happy_eyeballs_delay=None,
+            socket_factory=self.open,
+        )
+        trace = TraceConfig(trace_config_ctx_factory=lambda trace_request_ctx=None: trace_request_ctx)
+        trace.on_request_headers_sent.append(self.sent)
+        trace.on_request_chunk_sent.append(self.sent)
+        # Guards against a total time-out of five minutes, which would cut long streams, and against inflating.
+        self.session = aiohttp.ClientSession(
+            connector=self.connector,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=config.connect_timeout.total_seconds()),
+            auto_decompress=False,
+            trace_configs=[trace],
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+        # Guards against aiohttp sending a DELETE or GET again by itself when a kept connection breaks.
+        self.session._retry_connection = False
+
+    def open(self, info: tuple) -> socket.socket:
+        """Make a socket, unless that would take more than our part of the descriptors."""
+        if len(self.sockets) >= self.most:
+            self.drop_idle()
+        if len(self.sockets) >= self.most:
+            raise OSError("no socket is left for another connection")
+        made = socket.socket(*info[:3])
+        self.sockets.add(made)
+        with suppress(OSError):
+            made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return made
+
+    def drop_idle(self) -> None:
+        """Close the idle connections: others are needed now."""
+        for kept in list(self.connector._conns.values()):
+            while kept:
+                protocol, _ = kept.popleft()
+                if protocol.transport is not None:
+                    protocol.transport.abort()
+        self.sockets = WeakSet(each for each in self.sockets if each.fileno() >= 0)
+
+    @staticmethod
+    async def sent(session: object, context: asyncio.Event | None, params: object) -> None:
+        """Note that bytes of a call are on their way."""
+        if context is not None:
+            context.set()
+
+    def request(self, method: str, address: str, path: str, sent: asyncio.Event | None = None, **more):
+        """Send a call; `sent` is set once its first bytes may have gone."""
+        return self.session.request(
+            method, f"http://{address}{path}", allow_redirects=False, trace_request_ctx=sent, **more
+        )
+
+    async def call(self, method: str, address: str, path: str, within: timedelta) -> int | None:
+        """Make a call without a body and give the answer's status, None where none came."""
+        try:
+            async with asyncio.timeout(within.total_seconds()):
+                async with self.request(method, address, path) as answer:
+                    await answer.read()
+                    return answer.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+
+    async def close(self) -> None:
+        await self.session.close()
--- /dev/null
+++ b/hoplane/net/runtime.py
@@ -0,0 +1,235 @@
+"""Performs effects and feeds back events, on one event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Coroutine
+from contextlib import suppress
+from datetime import timedelta
+
+import aiohttp
+
+from hoplane import log
+from hoplane.config import Config
+from hoplane.core import events as ev
+from hoplane.core.reducer import Conductor, reduce
+from hoplane.decision.interface import Status
+from hoplane.net.clock import Clock
+from hoplane.net.pool import Pool
+from hoplane.net.wire import Exchange
+
+HEAD_MOST = 64 * 1024  # bytes read of an answer that is not a stream
+WHOLE_MOST = 4 * 1024 * 1024  # bytes of an answer that is passed on whole
+TAIL = 2048  # bytes kept of a stream's end, where usage and the load report stand
+RELEASE_TRY = timedelta(milliseconds=70)  # then another endpoint is asked as well
+HOLD_WAIT = timedelta(seconds=1)
+QUIET = timedelta(seconds=4.8)  # without an event: a client must not be left waiting for 5 s
+
+
+class Runtime:
+    """Holds the one conductor's state, its clock, its connections and what is out."""
+
+    def __init__(self, config: Config, hold_path: Callable[[str], str | None]) -> None:
+        self.config, self.clock = config, Clock()
+        self.state = Conductor.new(config.settings, config.seed)
+        self.pool = Pool(config)
+        self.hold_path = hold_path
+        self.loop = asyncio.get_running_loop()
+        self.exchanges: dict[str, Exchange] = {}
+        self.attempts: dict[tuple[str, int], asyncio.Task] = {}
+        self.sent: dict[tuple[str, int], asyncio.Event] = {}
+        self.tasks: set[asyncio.Task] = set()
+        self.queue: deque[ev.Event] = deque()
+        self.busy = False
+        self.effects = {
+            ev.Forward: self.forward, ev.Abandon: self.abandon, ev.AskHold: self.ask_hold,
+            ev.LetGo: self.let_go, ev.Refuse: self.refuse, ev.Fail: self.fail, ev.Wake: self.wake,
+            ev.Say: lambda effect: log.say(effect.event, **effect.facts),
+        }
+
+    def feed(self, event: ev.Event) -> None:
+        """Take an event in and perform what it calls for; events met meanwhile come after it, in order."""
+        self.queue.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.queue:
+                for effect in reduce(self.state, self.clock.now(), self.queue.popleft()):
+                    self.effects[type(effect)](effect)
+        finally:
+            self.busy = False
+
+    def spawn(self, work: Coroutine) -> asyncio.Task:
+        """Run work beside; it is awaited at the end."""
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.ended)
+        return task
+
+    def ended(self, task: asyncio.Task) -> None:
+        """Tell of work that broke: it must not end in silence."""
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()):
+            log.say("task_broke", error=repr(error))
+
+    async def rest(self) -> None:
+        """Wait until nothing is out any more."""
+        while self.tasks:
+            await asyncio.wait(list(self.tasks))
+
+    # --- effects
+
+    def wake(self, effect: ev.Wake) -> None:
+        self.loop.call_at(self.clock.loop_time(effect.at), self.feed, ev.Due(effect.timer))
+
+    def refuse(self, effect: ev.Refuse) -> None:
+        if exchange := self.exchanges.get(effect.id):
+            exchange.refuse(effect.pause)
+
+    def fail(self, effect: ev.Fail) -> None:
+        if exchange := self.exchanges.get(effect.id):
+            exchange.fail(effect.clash)
+
+    def forward(self, effect: ev.Forward) -> None:
+        key = effect.id, effect.attempt
+        self.sent[key] = asyncio.Event()
+        self.attempts[key] = self.spawn(self.attempt(effect, self.exchanges[effect.id]))
+
+    def abandon(self, effect: ev.Abandon) -> None:
+        if task := self.attempts.get((effect.id, effect.attempt)):
+            task.cancel()
+
+    def ask_hold(self, effect: ev.AskHold) -> None:
+        self.spawn(self.hold(effect))
+
+    def let_go(self, effect: ev.LetGo) -> None:
+        self.spawn(self.release(effect))
+
+    # --- work
+
+    async def attempt(self, effect: ev.Forward, exchange: Exchange) -> None:
+        """Play one attempt to its end, and tell of it once its connection is free or closed."""
+        key = effect.id, effect.attempt
+        ended = ev.Ended(effect.id, effect.attempt, Status.CANCELLED)
+        try:
+            ended = await self.play(effect, exchange)
+        except asyncio.CancelledError:
+            pass  # given up: the connection is closed by now
+        finally:
+            del self.attempts[key]
+            self.sent.pop(key).set()
+            # A task that was cancelled before its first step ends here too: every attempt gets its outcome.
+            self.feed(ended)
+
+    async def play(self, effect: ev.Forward, exchange: Exchange) -> ev.Ended:
+        """Send the request, and pass its answer on where there is one."""
+        sent = self.sent[effect.id, effect.attempt]
+
+        def over(status: Status, note: int = 0, load: dict[str, float] | None = None) -> ev.Ended:
+            return ev.Ended(effect.id, effect.attempt, status, note, load or {})
+
+        call = exchange.call(effect)
+        try:
+            answer = await self.pool.request(
+                call.method, effect.endpoint.address, call.path, sent, headers=call.headers, data=call.body
+            )
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            # Guards a booking: a break counts as never run only while no byte of it can have gone.
+            return over(Status.RESET if sent.is_set() else Status.CONNECT_FAILED)
+        try:
+            head = exchange.read_head(answer.status, answer.headers, b"")
+            if head.status is not None:
+                with suppress(aiohttp.ClientError, OSError, TimeoutError):
+                    body = await answer.content.read(HEAD_MOST)
+                    if answer.content.at_eof():
+                        head = exchange.read_head(answer.status, answer.headers, body)
+                return over(head.status, head.note, head.load)
+            status, tail = await self.relay(effect, exchange, answer)
+            note, load = exchange.read_tail(tail)
+            return over(status, note, {**head.load, **load})
+        finally:
+            if answer.content.at_eof():
+                answer.release()
+            else:
+                answer.close()
+
+    async def relay(self, effect: ev.Forward, exchange: Exchange, answer: aiohttp.ClientResponse):
+        """Pass a stream on as it comes; a break is the client's too once its first event has gone."""
+        sink, tail, began = exchange.sink, b"", False
+        try:
+            if sink.whole:
+                data = await answer.content.read(WHOLE_MOST)
+                while not answer.content.at_eof():
+                    if len(data) >= WHOLE_MOST:
+                        return Status.ERROR, b""
+                    data += await answer.content.read(WHOLE_MOST - len(data))
+                began = True
+                self.feed(ev.Began(effect.id, effect.attempt))
+                await sink.start()
+                await sink.write(data)
+                await sink.finish()
+                return Status.OK, data
+            while True:
+                async with asyncio.timeout(QUIET.total_seconds() if began else None):
+                    data = await answer.content.readany()
+                if not data:
+                    break
+                if not began:
+                    began = True
+                    self.feed(ev.Began(effect.id, effect.attempt))
+                    await sink.start()
+                tail = (tail + data)[-TAIL:]
+                await sink.write(data)
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError):
+            if began:
+                sink.abort()
+            return Status.RESET, tail
+        except asyncio.CancelledError:
+            if began:
+                sink.abort()
+            raise
+        if not began:
+            return Status.RESET, tail
+        await sink.finish()
+        return Status.OK, tail
+
+    async def hold(self, effect: ev.AskHold) -> None:
+        """Ask for a place once the read is on its way: before that no endpoint would know of it."""
+        held = None
+        try:
+            if (sent := self.sent.get((effect.id, effect.attempt))) and (path := self.hold_path(effect.id)):
+                await sent.wait()
+                if (effect.id, effect.attempt) in self.attempts:
+                    status = await self.pool.call("POST", effect.endpoint.address, path, HOLD_WAIT)
+                    held = {200: True, 409: False}.get(status)
+        finally:
+            self.feed(ev.HoldAnswered(effect.id, effect.attempt, held))
+
+    async def release(self, effect: ev.LetGo) -> None:
+        """Call endpoint after endpoint until one has taken the release or its time is over."""
+        path = self.hold_path(effect.id)
+        if path is None:
+            return
+        end = self.loop.time() + effect.within.total_seconds()
+        await asyncio.sleep(effect.wait.total_seconds())
+        calls: set[asyncio.Task] = set()
+        try:
+            for endpoint in effect.endpoints:
+                call = self.pool.call("DELETE", endpoint.address, path, effect.within)
+                calls.add(self.loop.create_task(call))
+                # Guards against a cut-off machine: the next is asked while the last may still answer.
+                until = self.loop.time() + RELEASE_TRY.total_seconds()
+                while calls and (left := min(until, end) - self.loop.time()) > 0:
+                    done, calls = await asyncio.wait(
+                        calls, timeout=left, return_when=asyncio.FIRST_COMPLETED
+                    )
+                    if any(task.result() == 204 for task in done):
+                        return
+                if self.loop.time() >= end:
+                    break
+            log.say("release_unheard", request=effect.id, asked=len(effect.endpoints))
+        finally:
+            for task in calls:
+                task.cancel()
--- /dev/null
+++ b/hoplane/net/server.py
@@ -0,0 +1,188 @@
+"""Listens for clients: aiohttp's low-level server with bounds, and an orderly end."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+
+from aiohttp import web
+
+from hoplane import log
+from hoplane.config import BODY_MOST, Config
+
+KEEP = timedelta(seconds=75)  # an idle client connection
+BODY_WAIT = timedelta(seconds=10)  # for a body to arrive
+LINGER = timedelta(seconds=0.5)  # after SIGTERM, as clients keep coming for 0.2 to 0.4 s
+LAST = timedelta(seconds=2)  # for the last bytes to leave
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class TurnedAway(asyncio.Protocol):
+    """Answers one client connection too many, and closes it."""
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        transport.write(
+            b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+            b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+        )
+        transport.close()
+
+
+class Relay(web.StreamResponse):
+    """A stream on its way to a client; an aborted one never sends the last chunk."""
+
+    aborted = False
+
+    def abort(self, request: web.BaseRequest) -> None:
+        """Close the client's connection in the middle."""
+        self.aborted = True
+        self.force_close()
+        if request.transport is not None:
+            request.transport.close()
+
+    async def write_eof(self, data: bytes = b"") -> None:
+        if not self.aborted:
+            await super().write_eof(data)
+
+
+class StreamSink:
+    """Passes an answer's events on to an HTTP/1.1 client as they come."""
+
+    whole = False
+
+    def __init__(self, request: web.BaseRequest, response: Relay, done: asyncio.Future) -> None:
+        self.request, self.response, self.done = request, response, done
+
+    async def start(self) -> None:
+        await self.quietly(self.response.prepare(self.request))
+
+    async def write(self, data: bytes) -> None:
+        await self.quietly(self.response.write(data))
+
+    async def finish(self) -> None:
+        await self.quietly(self.response.write_eof())
+        if not self.done.done():
+            self.done.set_result(self.response)
+
+    def abort(self) -> None:
+        self.response.abort(self.request)
+        if not self.done.done():
+            self.done.set_result(self.response)
+
+    @staticmethod
+    async def quietly(work: Awaitable) -> None:
+        """Write; a client that is gone is told by its handler's end, not as a fault of the endpoint."""
+        try:
+            await work
+        except (ConnectionError, OSError):
+            return
+
+
+class Door(web.Server):
+    """Takes client connections up to a bound."""
+
+    def __init__(self, handler: Handler, most: int) -> None:
+        # Guards against handlers that go on when their client has left, and against inflating bodies.
+        super().__init__(
+            handler, request_factory=self.make, handler_cancellation=True, auto_decompress=False,
+            keepalive_timeout=KEEP.total_seconds(), access_log=None,
+        )
+        self.most = most
+
+    def make(self, message, payload, protocol, writer, task) -> web.BaseRequest:
+        # The bound itself is allowed; aiohttp's own default would be 1 MiB.
+        return web.BaseRequest(
+            message, payload, protocol, writer, task, asyncio.get_running_loop(),
+            client_max_size=BODY_MOST + 1,
+        )
+
+    def __call__(self) -> asyncio.Protocol:
+        if len(self._connections) < self.most:
+            return super().__call__()
+        log.say("client_turned_away", connections=self.most)
+        return TurnedAway()
+
+
+class Bodies:
+    """The memory that request bodies take; what would go over the bound is refused before it is read."""
+
+    def __init__(self, most: int) -> None:
+        self.left = most
+
+    def take(self, size: int) -> bool:
+        if size > self.left:
+            return False
+        self.left -= size
+        return True
+
+    def give(self, size: int) -> None:
+        self.left += size
+
+
+class Server:
+    """Serves one front on one address."""
+
+    def __init__(self, config: Config, handler: Handler) -> None:
+        self.config, self.handler = config, handler
+        self.bodies = Bodies(config.limits.bodies)
+        self.stopping = False
+        self.open = 0
+        self.door = Door(self.handle, config.limits.clients)
+        self.listener: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            self.door, *self.config.listen, backlog=512, reuse_address=True
+        )
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve a request; while we stop, its connection ends with its answer."""
+        self.open += 1
+        try:
+            response = await self.handler(request)
+        finally:
+            self.open -= 1
+        if self.stopping and not response.prepared:
+            response.force_close()
+        return response
+
+    async def read(self, request: web.BaseRequest) -> bytes | web.Response:
+        """Read a body within the bounds, or give the answer that refuses it."""
+        size = request.content_length
+        if size is not None and size > BODY_MOST:
+            return problem(413, "the body is over 256 KiB", close=True)
+        try:
+            async with asyncio.timeout(BODY_WAIT.total_seconds()):
+                return await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return problem(413, "the body is over 256 KiB", close=True)
+        except TimeoutError:
+            return problem(408, "the body did not arrive", close=True)
+
+    async def stop(self) -> None:
+        """Take what still comes for a moment, then close what is idle and wait for the rest."""
+        self.stopping = True
+        await asyncio.sleep(LINGER.total_seconds())
+        self.listener.close()
+        self.door.pre_shutdown()
+        while self.open:
+            await asyncio.sleep(0.005)
+        end = asyncio.get_running_loop().time() + LAST.total_seconds()
+        while self.door.connections and asyncio.get_running_loop().time() < end:
+            await asyncio.sleep(0.005)
+
+
+def problem(status: int, text: str, close: bool = False) -> web.Response:
+    """Give an answer that says what is wrong."""
+    response = web.Response(status=status, text=text + "\n")
+    if close:
+        response.force_close()
+    return response
+
+
+def retry_after(pause: timedelta) -> str:
+    """Give the header's value: seconds, decimal, and never less than a blink."""
+    return f"{max(pause, timedelta(milliseconds=50)).total_seconds():.3f}"
--- /dev/null
+++ b/hoplane/net/wire.py
@@ -0,0 +1,67 @@
+"""What a front has to offer: the runtime knows endpoints and clients through these alone."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import Protocol
+
+from hoplane.core.events import Asked, Forward
+from hoplane.decision.interface import Status
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """A request on its way to an endpoint."""
+
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Verdict:
+    """What an answer's head tells: a stream to pass on (status None), or how the attempt ended."""
+
+    status: Status | None
+    note: int = 0
+    load: dict[str, float] = field(default_factory=dict)
+
+
+class Sink(Protocol):
+    """Where an answer goes."""
+
+    whole: bool  # the answer is one event: it counts from its last byte on
+
+    async def start(self) -> None: ...
+
+    async def write(self, data: bytes) -> None: ...
+
+    async def finish(self) -> None: ...
+
+    def abort(self) -> None: ...
+
+
+class Exchange(Protocol):
+    """A client's request, as its front holds it."""
+
+    asked: Asked
+    sink: Sink
+
+    def call(self, forward: Forward) -> Call: ...
+
+    def read_head(self, status: int, headers: Mapping[str, str], body: bytes) -> Verdict: ...
+
+    def read_tail(self, tail: bytes) -> tuple[int, dict[str, float]]: ...
+
+    def refuse(self, pause: timedelta) -> None: ...
+
+    def fail(self, clash: bool) -> None: ...
+
+
+class Holds(Protocol):
+    """How places are asked for and let go, where endpoints know such calls."""
+
+    def path(self, id: str) -> str | None: ...
