Add the KServe v2 front with xDS files, its ledger of ids, and tests of both fronts

Saw in the tests, against small stand-ins: - idle client connections stayed open after SIGTERM: aiohttp's RequestHandler.close() cancels the waiting task and leaves the transport open, so Door.close_idle closes those without a request for good; - one release was called twice at an attempt's end: the module asks at the attempt's end and at the request's; the reducer keeps one of each step; - the core's last word at the deadline came before the module's: it waits 5 ms longer now.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -10,10 +10,11 @@
 from pathlib import Path
 
 from hoplane import config as configuration
-from hoplane import log
+from hoplane import log, xds
 from hoplane.config import Config, ConfigError
-from hoplane.fronts import platform
+from hoplane.fronts import kserve, platform
 from hoplane.net.discovery import Discovery
+from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
 
 
@@ -22,16 +23,8 @@
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    runtime = Runtime(config, platform.hold_path)
-    front = platform.Platform(config, runtime)
-    watch = Discovery(
-        runtime.pool, "{}:{}".format(*config.discovery), platform.read_list, runtime.feed
-    )
-    if config.known.get("endpoints"):
-        try:
-            watch.take({**config.known, "snapshot": True})
-        except ValueError as error:
-            raise ConfigError(f"known: {error}") from None
+    pool = Pool(config)
+    front, watch = beside(config, pool) if config.files else on_platform(config, pool)
     watching = asyncio.create_task(watch.watch())
     await front.server.start()
     gc.collect()
@@ -40,12 +33,34 @@
     await stop.wait()
     log.say("stopping", open=front.server.open)
     await front.server.stop()
-    await runtime.rest()
+    for runtime in front.runtimes:
+        await runtime.rest()
     watching.cancel()
-    await runtime.pool.close()
+    await pool.close()
     log.say("stopped")
 
 
+def on_platform(config: Config, pool: Pool) -> tuple[platform.Platform, Discovery]:
+    """Put the platform's front and its discovery together."""
+    runtime = Runtime(config, pool, platform.hold_path)
+    watch = Discovery(pool, "{}:{}".format(*config.discovery), platform.read_list, runtime.feed)
+    if config.known.get("endpoints"):
+        try:
+            watch.take({**config.known, "snapshot": True})
+        except ValueError as error:
+            raise ConfigError(f"known: {error}") from None
+    return platform.Platform(config, runtime), watch
+
+
+def beside(config: Config, pool: Pool) -> tuple[kserve.KServe, xds.Files]:
+    """Put the v2 front and its files together; at the start they must be whole."""
+    front = kserve.KServe(config, pool)
+    watch = xds.Files(*config.files, front.feed)
+    if broken := watch.look():
+        raise ConfigError(broken)
+    return front, watch
+
+
 def main(arguments: list[str]) -> int:
     """Read the configuration and serve."""
     try:
--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -58,6 +58,8 @@
     connect_timeout: timedelta = timedelta(milliseconds=250)
     conn_idle: timedelta = timedelta(seconds=15)
     max_open: int = 20_000
+    ledger_most: int = 50_000  # ids that must not run twice, and how long they are remembered
+    ledger_keep: timedelta = timedelta(minutes=10)
     files: tuple[Path, ...] = ()  # clusters and endpoints in xDS form, for the v2 front
 
 
@@ -103,7 +105,7 @@
         raise ConfigError(f"{path.name}: {error}") from None
     files = group(raw, "xds", needed=True)
     told = group(raw, "settings", needed=True)
-    upstream = group(raw, "upstream")
+    upstream, ledger = group(raw, "upstream"), group(raw, "ledger")
     return Config(
         name=text(raw, "name"),
         listen=address(raw, "listen"),
@@ -112,6 +114,8 @@
         limits=limits(group(raw, "limits")),
         connect_timeout=milliseconds(upstream, "connect_timeout_ms", 250, "upstream."),
         conn_idle=milliseconds(upstream, "idle_ms", 15_000, "upstream."),
+        ledger_most=whole(ledger, "ids", 50_000, 1, "ledger."),
+        ledger_keep=timedelta(seconds=whole(ledger, "keep_s", 600, 1, "ledger.")),
         files=tuple(path.parent / text(files, key, "xds.") for key in ("clusters", "endpoints")),
     )
 
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -16,8 +16,8 @@
 
 MAY_HAVE_RUN = (Status.OK, Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 SETTLE = timedelta(milliseconds=15)  # a release waits so long after a read was cut off: the close goes ahead
+BACKSTOP = timedelta(milliseconds=5)  # after the deadline, which the module sees to by itself
 HELD = timedelta(milliseconds=500)  # how long a release is tried where the settings name no limit
-LEDGER_MOST, LEDGER_KEEP = 50_000, timedelta(minutes=10)
 
 
 @dataclass(slots=True)
@@ -53,15 +53,10 @@
 
     settings: api.Settings
     router: Router
+    ledger: Ledger
     requests: dict[str, Request] = field(default_factory=dict)
     numbers: dict[str, int] = field(default_factory=dict)  # the module's server numbers, by name
     fleet: dict[int, ev.Endpoint] = field(default_factory=dict)
-    ledger: Ledger = field(default_factory=lambda: Ledger(LEDGER_MOST, LEDGER_KEEP))
-
-    @classmethod
-    def new(cls, settings: api.Settings, seed: int) -> Conductor:
-        """Give a conductor that knows no endpoint yet."""
-        return cls(settings, Router(settings, seed))
 
     def number(self, name: str) -> int:
         """Give an endpoint's number: the same at every conductor, as the module's ring hashes it."""
@@ -75,7 +70,9 @@
 
 def reduce(state: Conductor, now: timedelta, event: ev.Event) -> list[ev.Effect]:
     """Take an event in and give the effects that it calls for, in order."""
-    return list(HANDLERS[type(event)](state, now, event))
+    effects = list(HANDLERS[type(event)](state, now, event))
+    # The module may ask for one release twice, at an attempt's end and at the request's: one call is enough.
+    return [each for at, each in enumerate(effects) if type(each) is not ev.LetGo or each not in effects[:at]]
 
 
 def decide(state: Conductor, now: timedelta, event: api.Event) -> Iterator[ev.Effect]:
@@ -105,7 +102,7 @@
     if once:
         state.ledger.start(once)
     state.requests[event.id] = Request(event, now + event.patience)
-    yield ev.Wake(now + event.patience, (event.id, "deadline"))
+    yield ev.Wake(now + event.patience + BACKSTOP, (event.id, "deadline"))
     yield from decide(state, now, api.Request(
         event.id, event.cls, event.prompt, event.max_out, to_ns(event.patience),
         event.session, event.prefix, event.prefix_len, None, event.tenant, event.retry, event.resumed,
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -14,7 +14,7 @@
 from hoplane.core.events import Asked, Endpoint, Forward, Left, Listed
 from hoplane.decision.interface import State, Status
 from hoplane.net.runtime import Runtime
-from hoplane.net.server import Relay, Server, StreamSink, problem, retry_after
+from hoplane.net.server import MARGIN, Relay, Server, StreamSink, problem, retry_after
 from hoplane.net.wire import Call, Verdict
 
 CHAT, READY = "/v1/chat/completions", "/health/ready"
@@ -22,7 +22,6 @@
 LEFT_MS, FACTS, REPEAT = "X-Time-Left-Ms", "X-Facts", "X-Repeat"
 LOAD, NOT_RUN = "X-Backend-Load", "X-Unprocessed"
 STATES = {"Ready": State.LIVE, "Terminating": State.DRAINING, "Gone": State.GONE}
-MARGIN = timedelta(milliseconds=20)  # of a client's patience, for the answer's way and a busy loop
 ID_FORM = re.compile(r"[A-Za-z0-9_.:-]{1,128}")
 CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d+)')
 LOAD_LINE = re.compile(rb"^: ?" + LOAD.encode() + rb": ?([^\r\n]*)", re.MULTILINE | re.IGNORECASE)
@@ -150,7 +149,7 @@
     def __init__(self, config: Config, runtime: Runtime) -> None:
         self.config, self.runtime = config, runtime
         self.classes = {cls.name: cls for cls in config.settings.classes}
-        self.server = Server(config, self.handle)
+        self.server, self.runtimes = Server(config, self.handle), [runtime]
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -36,7 +36,7 @@
         trace = TraceConfig(trace_config_ctx_factory=lambda trace_request_ctx=None: trace_request_ctx)
         trace.on_request_headers_sent.append(self.sent)
         trace.on_request_chunk_sent.append(self.sent)
-        # Guards against a total time-out of five minutes, which would cut long streams, and against inflating.
+        # Guards against a total time-out of five minutes, which would cut long streams, and inflating.
         self.session = aiohttp.ClientSession(
             connector=self.connector,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=config.connect_timeout.total_seconds()),
@@ -81,6 +81,15 @@
             method, f"http://{address}{path}", allow_redirects=False, trace_request_ctx=sent, **more
         )
 
+    async def get(self, address: str, path: str, within: timedelta) -> tuple[int, bytes] | None:
+        """Fetch a short text and give its status with it, None where it did not come."""
+        try:
+            async with asyncio.timeout(within.total_seconds()):
+                async with self.request("GET", address, path) as answer:
+                    return answer.status, await answer.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return None
+
     async def call(self, method: str, address: str, path: str, within: timedelta) -> int | None:
         """Make a call without a body and give the answer's status, None where none came."""
         try:
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -13,8 +13,10 @@
 from hoplane import log
 from hoplane.config import Config
 from hoplane.core import events as ev
+from hoplane.core.ledger import Ledger
 from hoplane.core.reducer import Conductor, reduce
 from hoplane.decision.interface import Status
+from hoplane.decision.rules import Router
 from hoplane.net.clock import Clock
 from hoplane.net.pool import Pool
 from hoplane.net.wire import Exchange
@@ -27,13 +29,17 @@
 QUIET = timedelta(seconds=4.8)  # without an event: a client must not be left waiting for 5 s
 
 
+def nowhere(id: str) -> None:
+    """Give no path: these endpoints hold nothing."""
+
+
 class Runtime:
     """Holds the one conductor's state, its clock, its connections and what is out."""
 
-    def __init__(self, config: Config, hold_path: Callable[[str], str | None]) -> None:
-        self.config, self.clock = config, Clock()
-        self.state = Conductor.new(config.settings, config.seed)
-        self.pool = Pool(config)
+    def __init__(self, config: Config, pool: Pool, hold_path: Callable[[str], str | None] = nowhere) -> None:
+        self.config, self.pool, self.clock = config, pool, Clock()
+        ledger = Ledger(config.ledger_most, config.ledger_keep)
+        self.state = Conductor(config.settings, Router(config.settings, config.seed), ledger)
         self.hold_path = hold_path
         self.loop = asyncio.get_running_loop()
         self.exchanges: dict[str, Exchange] = {}
@@ -165,6 +171,8 @@
                     if len(data) >= WHOLE_MOST:
                         return Status.ERROR, b""
                     data += await answer.content.read(WHOLE_MOST - len(data))
+                if not sink.sound(data):
+                    return Status.RESET, b""
                 began = True
                 self.feed(ev.Began(effect.id, effect.attempt))
                 await sink.start()
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -14,6 +14,7 @@
 KEEP = timedelta(seconds=75)  # an idle client connection
 BODY_WAIT = timedelta(seconds=10)  # for a body to arrive
 LINGER = timedelta(seconds=0.5)  # after SIGTERM, as clients keep coming for 0.2 to 0.4 s
+MARGIN = timedelta(milliseconds=20)  # of a client's patience, for the answer's way and a busy loop
 LAST = timedelta(seconds=2)  # for the last bytes to leave
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -105,6 +106,16 @@
         return TurnedAway()
 
 
+    def close_idle(self) -> None:
+        """Close the connections that carry no request, and let the others end with their answers."""
+        for connection in self.connections:
+            # Guards against idle connections that stay open: aiohttp's close() ends their task alone.
+            if connection._current_request is None:
+                connection.force_close()
+            else:
+                connection.close()
+
+
 class Bodies:
     """The memory that request bodies take; what would go over the bound is refused before it is read."""
 
@@ -167,7 +178,7 @@
         self.stopping = True
         await asyncio.sleep(LINGER.total_seconds())
         self.listener.close()
-        self.door.pre_shutdown()
+        self.door.close_idle()
         while self.open:
             await asyncio.sleep(0.005)
         end = asyncio.get_running_loop().time() + LAST.total_seconds()
--- /dev/null
+++ b/tests/standins.py
@@ -0,0 +1,207 @@
+"""Stand-ins for clients, endpoints and discovery, and the real program as a process."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from contextlib import asynccontextmanager
+
+LIMIT = 20  # seconds that any wait may take before a test fails
+
+
+def within(work, seconds=LIMIT):
+    return asyncio.wait_for(work, seconds)
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def read_message(reader):
+    """Read one HTTP/1.1 message: its first line, headers in lower case, and body; None at the end."""
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in head[1:] if line)}
+    body = b""
+    if headers.get("transfer-encoding") == "chunked":
+        while size := int(await reader.readline(), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        await reader.readline()
+    elif "content-length" in headers:
+        body = await reader.readexactly(int(headers["content-length"]))
+    return head[0], headers, body
+
+
+def message(first, body=b"", **headers):
+    headers["Content_Length"] = len(body)
+    lines = [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join([first, *lines, "", ""]).encode() + body
+
+
+def chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+EVENT = b'data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}\n\n'
+USAGE = b'data: {"choices":[],"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":4}}}\n\n'
+DONE = b"data: [DONE]\n\n: X-Backend-Load: latency_ms=3,x0=0.5\n\n"
+
+
+class Server:
+    """A stand-in that answers each call by `play(call, writer)`, and keeps what came."""
+
+    def __init__(self, play):
+        self.play, self.calls, self.came, self.closed = play, [], asyncio.Condition(), asyncio.Queue()
+
+    async def __aenter__(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    async def serve(self, reader, writer):
+        try:
+            while call := await read_message(reader):
+                async with self.came:
+                    self.calls.append(call)
+                    self.came.notify_all()
+                playing = asyncio.ensure_future(self.play(call, writer))
+                gone = asyncio.ensure_future(reader.read(1)) if not playing.done() else None
+                await asyncio.wait({playing, gone}, return_when=asyncio.FIRST_COMPLETED)
+                if not playing.done():
+                    playing.cancel()
+                    self.closed.put_nowait(call)
+                    return
+                gone.cancel()
+                await asyncio.wait({gone})
+                if writer.is_closing():
+                    return
+        finally:
+            writer.close()
+
+    def named(self, start):
+        return [call for call in self.calls if call[0].startswith(start)]
+
+    async def wait_for(self, start, count=1):
+        async with self.came:
+            await within(self.came.wait_for(lambda: len(self.named(start)) >= count))
+        return self.named(start)
+
+
+class Discovery(Server):
+    """Discovery's agent: a list that can be changed under a watch."""
+
+    def __init__(self, entries):
+        super().__init__(self.answer)
+        self.entries, self.index, self.changed = entries, 1, asyncio.Condition()
+
+    async def answer(self, call, writer):
+        path = call[0].split()[1]
+        since = int(path.partition("since=")[2].partition("&")[0] or 0)
+        async with self.changed:
+            await self.changed.wait_for(lambda: self.index > since)
+        body = {"index": self.index, "snapshot": since == 0, "endpoints": self.entries}
+        writer.write(message("HTTP/1.1 200 OK", json.dumps(body).encode()))
+
+    async def tell(self, entries):
+        async with self.changed:
+            self.entries, self.index = entries, self.index + 1
+            self.changed.notify_all()
+
+
+def entry(name, address, kind, status="Ready"):
+    return {"name": name, "address": address, "zone": "z", "type": kind, "group": 1, "status": status,
+            "weight": 1.0, "since_ms": 0}
+
+
+SETTINGS = {
+    "kinds": ["prefill", "decode"], "tick": 2000000, "my_zone": "z", "balancers": 1, "position": 0,
+    "lanes": [
+        {"name": "lookup", "target": 1200000000, "hard_limit": 5000000000, "idempotency": "pure"},
+        {"name": "booking", "target": 2500000000, "hard_limit": 9000000000, "idempotency": "side_effect"},
+    ],
+    "allowed": {"attempts_cap": 4, "cancel": True, "retry_after": True, "max_retry_after": 1000000000,
+                "connect_timeout": 250000000, "conn_idle": 15000000000},
+    "family_info": {"ahead": True, "local_read": False, "duty_by_kind": ["read", "write"],
+                    "release_within": 500000000, "memory_tokens": [200000, 150000]},
+    "rules": {"drain_grace": 1000000000},
+}
+
+
+class Program:
+    """The program as a process, with its log."""
+
+    def __init__(self, process, address):
+        self.process, self.address, self.log = process, address, []
+
+    async def line(self, event):
+        """Wait for a line of the log."""
+        while True:
+            raw = await within(self.process.stderr.readline())
+            assert raw, f"the program ended before it said {event}: {self.log}"
+            print(raw.decode(), end="")
+            self.log.append(json.loads(raw))
+            if self.log[-1]["event"] == event:
+                return self.log[-1]
+
+    async def stop(self):
+        self.process.send_signal(signal.SIGTERM)
+        return await within(self.process.wait())
+
+    async def connect(self):
+        host, port = self.address.split(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def ask(self, data):
+        """Send raw bytes on a new connection and give the whole answer."""
+        reader, writer = await self.connect()
+        writer.write(data)
+        try:
+            return await within(read_message(reader))
+        finally:
+            writer.close()
+
+
+@asynccontextmanager
+async def started(*arguments, address, **environ):
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "hoplane", *arguments,
+        env={**os.environ, **environ}, stderr=asyncio.subprocess.PIPE, limit=1 << 20,
+    )
+    program = Program(process, address)
+    try:
+        await program.line("started")
+        yield program
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+@asynccontextmanager
+async def platform(tmp_path, entries, **changes):
+    """Start the program as the platform does, before a discovery that lists the entries."""
+    address = f"127.0.0.1:{free_port()}"
+    async with Discovery(entries) as discovery:
+        told = {"name": "n1", "listen": address, "discovery": discovery.address, "seed": "8c1f",
+                "limits": {"memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
+                "known": {"index": 0, "snapshot": True, "endpoints": entries}, **changes}
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(told))
+        async with started(address=address, EDGE_CONFIG=str(file)) as program:
+            program.discovery = discovery
+            yield program
+
+
+def chat(id="r1", cls="lookup", left=4000, body=b'{"stream":true}', facts="prompt_len=100,max_out=20"):
+    return message("POST /v1/chat/completions HTTP/1.1", body, Host="h", X_Correlation_Id=id,
+                   X_Service_Class=cls, X_Time_Left_Ms=left, X_Facts=facts, X_Session_Key="s")
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,170 @@
+"""The reducer alone: no sockets, no clock but the one that the tests pass in."""
+
+from datetime import timedelta
+
+import pytest
+
+from hoplane.core import events as ev
+from hoplane.core.border import to_ns, to_span
+from hoplane.core.ledger import Ledger
+from hoplane.core.reducer import Conductor, reduce
+from hoplane.decision import interface as api
+from hoplane.decision.interface import State, Status
+from hoplane.decision.rules import Router
+
+MS, SECOND = timedelta(milliseconds=1), timedelta(seconds=1)
+SETTINGS = api.Settings(
+    kinds=(api.KindSettings("reader", api.Role.READ), api.KindSettings("writer", api.Role.WRITE)),
+    classes=(
+        api.ClassSettings("safe", 10**9, 4 * 10**9, api.Effect.SAFE),
+        api.ClassSettings("once", 10**9, 4 * 10**9, api.Effect.UNSAFE),
+    ),
+    cancel=True, ahead=True, retry_after=True, max_retry_after=10**9, release_within=500_000_000,
+    tick=2_000_000,
+)
+
+
+def endpoint(name, kind, state=State.LIVE):
+    return ev.Endpoint(name, f"{name}:1", "z", kind, 0, state)
+
+
+class Core:
+    def __init__(self):
+        self.state = Conductor(SETTINGS, Router(SETTINGS, 1), Ledger(9, 10 * 60 * SECOND))
+        self.now = 1000 * SECOND
+        fleet = endpoint("r", "reader"), endpoint("w", "writer"), endpoint("w2", "writer")
+        self.do(ev.Listed(fleet, True))
+
+    def do(self, event, after=timedelta()):
+        self.now += after
+        self.effects = reduce(self.state, self.now, event)
+        return self.effects
+
+    def of(self, kind):
+        return [each for each in self.effects if isinstance(each, kind)]
+
+    def ask(self, id="q", cls="safe", **more):
+        return self.do(ev.Asked(id, cls, 2000, 100, 4 * SECOND, session="s", **more))
+
+    def read(self, id="q", holds=1):
+        """Play the read to its end; the writer's attempt is out then."""
+        for _ in range(holds):
+            self.do(ev.HoldAnswered(id, 0, None))
+        self.do(ev.Ended(id, 0, Status.MISS), 10 * MS)
+        (forward,) = self.of(ev.Forward)
+        return forward
+
+
+@pytest.fixture
+def core():
+    return Core()
+
+
+def test_a_request_goes_to_a_reader_with_a_hold_and_then_to_the_writer(core):
+    core.ask()
+    (forward,), (hold,) = core.of(ev.Forward), core.of(ev.AskHold)
+    assert forward.endpoint.name == "r" and forward.reads and forward.patience == 4 * SECOND
+    core.do(ev.HoldAnswered("q", 0, True), MS)
+    assert core.read(holds=0).endpoint.name == hold.endpoint.name
+    core.do(ev.Began("q", 1), MS)
+    core.do(ev.Ended("q", 1, Status.OK), SECOND)
+    assert not core.of(ev.LetGo), "a stream that began has let go of all else"
+    assert not core.state.requests
+
+
+def test_a_hold_not_known_tells_the_module_nothing(core):
+    core.ask()
+    assert core.do(ev.HoldAnswered("q", 0, None), MS) == []
+    core.ask("p")
+    core.do(ev.HoldAnswered("p", 0, False), MS)
+    assert core.of(ev.AskHold), "the next writer is asked after a plain no"
+
+
+def test_a_client_that_leaves_during_the_read_has_it_closed_and_then_released(core):
+    core.ask()
+    core.do(ev.HoldAnswered("q", 0, True))
+    core.do(ev.Left("q"), MS)
+    assert core.of(ev.Abandon) == [ev.Abandon("q", 0)] and not core.of(ev.LetGo)
+    core.do(ev.Ended("q", 0, Status.CANCELLED), MS)
+    (let_go,) = core.of(ev.LetGo)
+    assert let_go.wait > timedelta(), "what a cut read leaves may show up a moment later"
+    assert not core.state.requests
+
+
+def test_a_place_held_after_the_end_is_let_go(core):
+    core.ask()
+    core.do(ev.Left("q"))
+    core.do(ev.Ended("q", 0, Status.CANCELLED))
+    core.do(ev.HoldAnswered("q", 0, None), 300 * MS)
+    assert core.of(ev.LetGo) and not core.state.requests
+
+
+def test_a_stream_ends_with_its_client(core):
+    core.ask()
+    core.read()
+    core.do(ev.Began("q", 1))
+    core.do(ev.Left("q"), MS)
+    assert core.of(ev.Abandon) == [ev.Abandon("q", 1)]
+
+
+def test_the_deadline_runs_no_more_once_the_answer_began(core):
+    core.ask()
+    core.read()
+    core.do(ev.Began("q", 1))
+    assert core.do(ev.Due(("q", "deadline")), 9 * SECOND) == []
+
+
+@pytest.mark.parametrize(("cls", "answer"), [("safe", ev.Refuse), ("once", ev.Fail)])
+def test_a_deadline_that_passes_at_the_writer_ends_the_request_once(core, cls, answer):
+    core.ask(cls=cls)
+    core.read()
+    core.do(ev.Due(("q", "deadline")), 4 * SECOND)
+    first = core.of(ev.Abandon)
+    assert first == [ev.Abandon("q", 1)] and len(core.of(ev.Fail)) == 1
+    core.do(ev.Ended("q", 1, Status.CANCELLED), MS)
+    assert not core.of(answer) and not core.state.requests
+
+
+def test_ids_that_may_have_run_clash_and_those_that_never_ran_do_not(core):
+    core.ask("a", "once", once="id")
+    core.ask("b", "once", once="id")
+    assert core.of(ev.Fail)[0].clash and not core.of(ev.Forward), "it is running"
+    core.do(ev.Left("a"))
+    core.do(ev.HoldAnswered("a", 0, None))
+    core.do(ev.Ended("a", 0, Status.CANCELLED))
+    core.ask("c", "once", once="id")
+    assert core.of(ev.Forward), "a read has no effect: it never ran"
+    core.read("c")
+    core.do(ev.Left("c"))
+    core.do(ev.Ended("c", 1, Status.CANCELLED))
+    core.ask("d", "once", once="id")
+    assert core.of(ev.Fail)[0].clash, "a cancelled write may have run"
+    core.now += timedelta(minutes=11)
+    core.ask("e", "once", once="id")
+    assert core.of(ev.Forward)
+
+
+def test_the_ledger_is_bounded_and_refuses_rather_than_forgets():
+    ledger = Ledger(2, SECOND)
+    ledger.start("a")
+    ledger.start("b")
+    assert ledger.full
+    ledger.end("a", timedelta(), True)
+    assert ledger.full and ledger.clashes("a", SECOND)
+    assert not ledger.clashes("a", 3 * SECOND) and not ledger.full
+
+
+def test_a_whole_list_removes_and_changes_add(core):
+    core.do(ev.Listed((endpoint("w2", "writer", State.GONE), endpoint("w3", "writer")), False))
+    assert sorted(e.name for e in core.state.fleet.values()) == ["r", "w", "w3"]
+    core.do(ev.Listed((endpoint("r", "reader"), endpoint("odd", "unheard")), True))
+    assert [e.name for e in core.state.fleet.values()] == ["r"]
+
+
+def test_two_names_never_share_a_number(core, monkeypatch):
+    monkeypatch.setattr("hoplane.core.reducer.crc32", lambda data: 7)
+    assert {core.state.number(name) for name in ("a", "b", "c")} == {7, 8, 9}
+
+
+def test_spans_cross_the_border_and_timers_never_fire_early():
+    assert to_ns(to_span(1_500_000)) == 1_500_000 and to_span(1) == timedelta(microseconds=1)
--- /dev/null
+++ b/tests/test_kserve.py
@@ -0,0 +1,217 @@
+"""The v2 front: its outcomes are those of the HTTP/1.1 path, with stand-in v2 servers and clients."""
+
+import asyncio
+import json
+import re
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+from standins import Server, free_port, message, started, within
+
+ANSWER = b'{"model_name":"desk","outputs":[{"name":"text","shape":[1],"datatype":"BYTES","data":["ok"]}]}'
+ROOT = Path(__file__).parent.parent
+
+
+async def serve(call, writer):
+    """Play a v2 server."""
+    writer.write(message("HTTP/1.1 200 OK", ANSWER, Content_Type="application/json"))
+
+
+async def hang(call, writer):
+    await asyncio.Event().wait()
+
+
+async def close_mid_answer(call, writer):
+    writer.write(message("HTTP/1.1 200 OK", ANSWER)[:-20])
+    await writer.drain()
+    writer.close()
+
+
+async def close_mid_answer_untold(call, writer):
+    writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + ANSWER[:-20])
+    await writer.drain()
+    writer.close()
+
+
+async def turn_away(call, writer):
+    writer.write(message("HTTP/1.1 503 Service Unavailable", X_Unprocessed="1"))
+
+
+def assignment(*servers):
+    """Write a load assignment of (address, health) pairs."""
+    found = []
+    for at, (address, health) in enumerate(servers):
+        host, port = address.split(":")
+        socket = {"address": host, "port_value": int(port)}
+        found.append({"endpoint": {"address": {"socket_address": socket}}, "health_status": health,
+                      "metadata": {"filter_metadata": {"hoplane": {"name": f"m{at}"}}}})
+    kind = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
+    return json.dumps({"resources": [{"@type": kind, "cluster_name": "desk", "endpoints": [
+        {"locality": {"zone": "z", "sub_zone": "k"}, "lb_endpoints": found}]}]})
+
+
+@asynccontextmanager
+async def sidecar(tmp_path, *servers):
+    """Start the program with the file that the repository ships, at an address and endpoints of ours."""
+    address = f"127.0.0.1:{free_port()}"
+    text = (ROOT / "deploy/kserve.toml").read_text()
+    (tmp_path / "kserve.toml").write_text(re.sub(r'listen = ".*?"', f'listen = "{address}"', text))
+    (tmp_path / "xds").mkdir()
+    (tmp_path / "xds/clusters.json").write_text((ROOT / "deploy/xds/clusters.json").read_text())
+    file = tmp_path / "xds/endpoints.json"
+    file.write_text(assignment(*[(server.address, "HEALTHY") for server in servers]))
+    async with started(str(tmp_path / "kserve.toml"), address=address) as program:
+        program.file = file
+        yield program
+
+
+def infer(id="b1", cls="booking", model="desk", **parameters):
+    told = {"id": id, "parameters": {"service_class": cls, **parameters},
+            "inputs": [{"name": "text", "shape": [1], "datatype": "BYTES", "data": ["a desk"]}]}
+    body = json.dumps(told).encode()
+    return message(f"POST /v2/models/{model}/infer HTTP/1.1", body, Host="h", Content_Type="application/json")
+
+
+def get(path):
+    return message(f"GET {path} HTTP/1.1", Host="h")
+
+
+def run(test):
+    asyncio.run(within(test, 60))
+
+
+async def status(program, data):
+    first, headers, body = await program.ask(data)
+    code = int(first.split()[1])
+    assert code < 400 or code in (413,) or json.loads(body)["error"]
+    if code == 503:
+        assert float(headers["retry-after"]) > 0, "a refusal says when to return"
+    return code
+
+
+def test_an_inference_passes_both_ways_unchanged(tmp_path):
+    async def test():
+        async with Server(serve) as server, sidecar(tmp_path, server) as program:
+            data = infer(time_left_ms=3000, prompt_len=900)
+            first, headers, body = await program.ask(data)
+            assert first.split()[1] == "200" and body == ANSWER
+            ((line, _, sent),) = server.calls
+            assert line.startswith("POST /v2/models/desk/infer") and sent == data.partition(b"\r\n\r\n")[2]
+            assert await program.stop() == 0
+    run(test())
+
+
+def test_the_health_and_model_calls(tmp_path):
+    async def test():
+        async with Server(serve) as server, sidecar(tmp_path, server) as program:
+            assert json.loads((await program.ask(get("/v2")))[2])["name"] == "hoplane"
+            for path in ("/v2/health/live", "/v2/health/ready", "/v2/models/desk/ready", "/v2/models/desk"):
+                assert await status(program, get(path)) == 200
+            assert await status(program, get("/v2/models/other/ready")) == 404
+            assert await status(program, get("/elsewhere")) == 404
+            assert await status(program, infer(model="other")) == 404
+            program.file.write_text(assignment((server.address, "DRAINING")))
+            await program.line("endpoints")
+            first, _, _ = await program.ask(get("/v2/models/desk/ready"))
+            assert first.split()[1] == "503"
+    run(test())
+
+
+@pytest.mark.parametrize("data", [
+    message("POST /v2/models/desk/infer HTTP/1.1", b"{", Host="h"),
+    infer(cls="other"), infer(id=None), infer(time_left_ms="soon"), infer(prompt_len=-1),
+])
+def test_what_is_malformed_reaches_no_endpoint(tmp_path, data):
+    async def test():
+        async with Server(serve) as server, sidecar(tmp_path, server) as program:
+            assert await status(program, data) == 400
+            assert not server.calls
+    run(test())
+
+
+@pytest.mark.parametrize("breaks", [close_mid_answer, close_mid_answer_untold])
+def test_a_server_that_closes_mid_answer(tmp_path, breaks):
+    async def test():
+        async with Server(breaks) as bad, sidecar(tmp_path, bad) as program:
+            assert await status(program, infer(id="b1")) == 502
+            assert await status(program, infer(id="b1")) == 409, "it may have run"
+            assert len(bad.calls) == 1
+            async with Server(serve) as good:
+                program.file.write_text(assignment((bad.address, "HEALTHY"), (good.address, "HEALTHY")))
+                await program.line("endpoints")
+                for number in range(8):
+                    assert await status(program, infer(id=f"l{number}", cls="lookup")) == 200
+    run(test())
+
+
+def test_a_booking_that_ran_or_runs_is_never_sent_again(tmp_path):
+    go_on = asyncio.Event()
+
+    async def wait(call, writer):
+        await go_on.wait()
+        await serve(call, writer)
+
+    async def test():
+        async with Server(wait) as server, sidecar(tmp_path, server) as program:
+            first = asyncio.ensure_future(status(program, infer(id="b1")))
+            await server.wait_for("POST")
+            assert await status(program, infer(id="b1")) == 409, "it is running"
+            go_on.set()
+            assert await first == 200
+            assert await status(program, infer(id="b1", repeat=True)) == 409, "it has run"
+            assert await status(program, infer(id="b2")) == 200
+            assert await status(program, infer(id="s", cls="lookup")) == 200
+            assert await status(program, infer(id="s", cls="lookup")) == 200, "a safe one may run again"
+            assert len(server.calls) == 4
+    run(test())
+
+
+def test_a_booking_that_never_ran_may_come_again(tmp_path):
+    async def test():
+        async with Server(turn_away) as server, sidecar(tmp_path, server) as program:
+            assert await status(program, infer(id="b1", time_left_ms=300)) == 503
+            server.play = serve
+            assert await status(program, infer(id="b1")) in (200, 503)
+            while await status(program, infer(id="b1")) == 503:
+                pass
+            assert len(server.calls) >= 2
+    run(test())
+
+
+@pytest.mark.parametrize(("cls", "code", "again"), [("lookup", 503, 503), ("booking", 502, 409)])
+def test_the_deadline_ends_the_attempt(tmp_path, cls, code, again):
+    async def test():
+        async with Server(hang) as server, sidecar(tmp_path, server) as program:
+            assert await status(program, infer(cls=cls, time_left_ms=200)) == code
+            assert (await within(server.closed.get()))[0].startswith("POST")
+            assert await status(program, infer(cls=cls, time_left_ms=200)) == again
+    run(test())
+
+
+def test_a_client_that_leaves_ends_its_attempt(tmp_path):
+    async def test():
+        async with Server(hang) as server, sidecar(tmp_path, server) as program:
+            _, writer = await program.connect()
+            writer.write(infer())
+            await server.wait_for("POST")
+            writer.close()
+            assert await within(server.closed.get())
+            assert await status(program, infer()) == 409
+    run(test())
+
+
+def test_drains_and_broken_files(tmp_path):
+    async def test():
+        async with Server(serve) as old, Server(serve) as new, sidecar(tmp_path, old) as program:
+            program.file.write_text('{"resources": [')
+            assert "endpoints.json" in (await program.line("xds_broken"))["file"]
+            assert await status(program, infer(id="b1")) == 200, "the last good list stays"
+            program.file.write_text(assignment((old.address, "DRAINING"), (new.address, "HEALTHY")))
+            before = asyncio.get_running_loop().time()
+            await program.line("endpoints")
+            assert asyncio.get_running_loop().time() - before < 1
+            for number in range(5):
+                assert await status(program, infer(id=f"c{number}")) == 200
+            assert len(old.calls) == 1 and len(new.calls) == 5
+    run(test())
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,226 @@
+"""The program on the platform's protocol, as clients, endpoints and discovery see it."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from standins import (
+    DONE,
+    EVENT,
+    STREAM,
+    USAGE,
+    Server,
+    chat,
+    chunk,
+    entry,
+    message,
+    platform,
+    read_message,
+    within,
+)
+
+
+async def read_it(call, writer):
+    """Play a reader that reads, holds nothing and lets everything go."""
+    if call[0].startswith("POST /v1/chat"):
+        writer.write(message("HTTP/1.1 202 Accepted", b'{"cached_tokens":4}'))
+    else:
+        writer.write(message("HTTP/1.1 204 No Content"))
+
+
+async def write_it(call, writer):
+    """Play a writer that streams an answer."""
+    if call[0].startswith("POST /v1/chat"):
+        writer.write(STREAM + chunk(EVENT) + chunk(USAGE + DONE) + b"0\r\n\r\n")
+    else:
+        writer.write(message("HTTP/1.1 409 Conflict"))
+
+
+@asynccontextmanager
+async def desk(tmp_path, read=read_it, write=write_it, **changes):
+    async with Server(read) as reader, Server(write) as writer:
+        entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
+        async with platform(tmp_path, entries, **changes) as program:
+            program.reader, program.writer, program.entries = reader, writer, entries
+            yield program
+
+
+def run(test):
+    asyncio.run(within(test, 60))
+
+
+def test_a_request_is_read_then_written_and_its_events_pass_unchanged(tmp_path):
+    async def test():
+        async with desk(tmp_path) as program:
+            first, headers, body = await program.ask(chat(body=b'{"stream": true,  "n":1}'))
+            assert first.startswith("HTTP/1.1 200") and body == EVENT + USAGE + DONE
+            for server in (program.reader, program.writer):
+                (call,) = server.named("POST /v1/chat/completions")
+                assert call[2] == b'{"stream": true,  "n":1}' and call[1]["x-correlation-id"] == "r1"
+                assert 0 < int(call[1]["x-time-left-ms"]) <= 4000
+            (hold,) = await program.writer.wait_for("POST /v1/holds/r1")
+            assert not program.reader.named("DELETE") and not program.writer.named("DELETE")
+            assert await program.stop() == 0
+    run(test())
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (chat(left="soon"), 400), (chat(cls="other"), 400), (chat(id="a b"), 400),
+    (chat(facts="max_out=2"), 400),
+    (chat(body=b"{"), 400), (chat(body=b"[]"), 400),
+    (chat(body=b'"' + b"x" * 262144 + b'"'), 413),
+    (message("GET /v1/chat/completions HTTP/1.1", Host="h"), 405), (message("GET /x HTTP/1.1", Host="h"), 404),
+    (b"nonsense\r\n\r\n", 400),
+], ids=range(10))
+def test_what_is_malformed_is_answered_and_sent_nowhere(tmp_path, data, status):
+    async def test():
+        async with desk(tmp_path) as program:
+            assert (await program.ask(data))[0].split()[1] == str(status)
+            assert (await program.ask(chat(id="good")))[0].split()[1] == "200"
+            assert len(program.reader.named("POST")) == 1, "only the good one reached a reader"
+    run(test())
+
+
+def test_a_body_of_256_kib_passes(tmp_path):
+    async def test():
+        async with desk(tmp_path) as program:
+            body = b'{"a":"' + b"x" * (262144 - 8) + b'"}'
+            assert (await program.ask(chat(body=body)))[0].split()[1] == "200"
+            assert program.writer.named("POST /v1/chat")[0][2] == body
+    run(test())
+
+
+def test_a_stream_that_breaks_ends_without_the_last_chunk(tmp_path):
+    async def breaks(call, writer):
+        if call[0].startswith("POST /v1/chat"):
+            writer.write(STREAM + chunk(EVENT))
+            await writer.drain()
+            writer.close()
+        else:
+            await write_it(call, writer)
+
+    async def test():
+        async with desk(tmp_path, write=breaks) as program:
+            reader, writer = await program.connect()
+            writer.write(chat())
+            got = await within(reader.read())
+            assert EVENT in got and not got.endswith(b"0\r\n\r\n")
+            assert len(program.writer.named("POST /v1/chat")) == 1, "nothing further is sent"
+    run(test())
+
+
+@pytest.mark.parametrize(("cls", "status", "times"), [("booking", "502", 1), ("lookup", "200", 2)])
+def test_what_may_have_run_is_repeated_only_where_its_class_permits(tmp_path, cls, status, times):
+    tries = []
+
+    async def fails_once(call, writer):
+        if call[0].startswith("POST /v1/chat") and not tries:
+            tries.append(call)
+            writer.close()  # the request had come in whole: it may have run
+        else:
+            await write_it(call, writer)
+
+    async def test():
+        async with Server(fails_once) as second, desk(tmp_path, write=fails_once) as program:
+            await program.discovery.tell([*program.entries, entry("w2", second.address, "decode")])
+            await program.line("endpoints")
+            assert (await program.ask(chat(cls=cls)))[0].split()[1] == status
+            chats = program.writer.named("POST /v1/chat") + second.named("POST /v1/chat")
+            assert len(chats) == times
+    run(test())
+
+
+def test_a_client_that_leaves_ends_the_read_and_what_it_left_is_released(tmp_path):
+    async def hangs(call, writer):
+        if call[0].startswith("POST /v1/chat"):
+            await asyncio.Event().wait()
+        await read_it(call, writer)
+
+    async def test():
+        async with desk(tmp_path, read=hangs) as program:
+            _, writer = await program.connect()
+            writer.write(chat())
+            await program.reader.wait_for("POST /v1/chat")
+            writer.close()
+            assert (await within(program.reader.closed.get()))[0].startswith("POST /v1/chat")
+            assert (await program.reader.wait_for("DELETE /v1/holds/r1")) or program.writer.named("DELETE")
+    run(test())
+
+
+def test_a_request_out_of_time_is_answered_and_released(tmp_path):
+    async def hangs(call, writer):
+        if call[0].startswith("POST /v1/chat"):
+            await asyncio.Event().wait()
+        await read_it(call, writer)
+
+    async def test():
+        async with desk(tmp_path, read=hangs) as program:
+            first, headers, _ = await program.ask(chat(left=300))
+            assert first.split()[1] == "503" and float(headers["retry-after"]) > 0
+            await program.reader.wait_for("DELETE /v1/holds/r1")
+    run(test())
+
+
+def test_a_request_given_up_on_is_answered_at_once(tmp_path):
+    async def test():
+        gone = [entry("r1", "127.0.0.1:1", "prefill"), entry("w1", "127.0.0.1:1", "decode", "Terminating")]
+        async with platform(tmp_path, gone) as program:
+            clock = asyncio.get_running_loop().time
+            before = clock()
+            first, headers, _ = await program.ask(chat(left=9000))
+            assert first.split()[1] == "503" and float(headers["retry-after"]) > 0
+            assert clock() - before < 3, "long before its deadline"
+    run(test())
+
+
+def test_a_draining_endpoint_gets_nothing_new(tmp_path):
+    async def test():
+        async with Server(write_it) as second, desk(tmp_path) as program:
+            drained = entry("w1", program.writer.address, "decode", "Terminating")
+            await program.discovery.tell(
+                [program.entries[0], drained, entry("w2", second.address, "decode")]
+            )
+            while (await program.line("endpoints"))["not_live"] != {"w1": "draining"}:
+                pass
+            for number in range(6):
+                assert (await program.ask(chat(id=f"r{number}")))[0].split()[1] == "200"
+            assert not program.writer.named("POST") and len(second.named("POST /v1/chat")) == 6
+    run(test())
+
+
+def test_sigterm_finishes_what_was_taken_and_turns_off_keep_alive(tmp_path):
+    go_on = asyncio.Event()
+
+    async def waits(call, writer):
+        if call[0].startswith("POST /v1/chat"):
+            writer.write(STREAM + chunk(EVENT))
+            await go_on.wait()
+            writer.write(chunk(DONE) + b"0\r\n\r\n")
+        else:
+            await write_it(call, writer)
+
+    async def test():
+        async with desk(tmp_path, write=waits) as program:
+            idle_reader, idle_writer = await program.connect()
+            idle_writer.write(message("GET /health/ready HTTP/1.1", Host="h"))
+            assert (await within(read_message(idle_reader)))[0].split()[1] == "200"
+            reader, writer = await program.connect()
+            writer.write(chat())
+            await program.writer.wait_for("POST /v1/chat")
+            program.process.terminate()
+            await program.line("stopping")
+            late = await program.ask(message("GET /health/ready HTTP/1.1", Host="h"))
+            assert late[0].split()[1] == "503" and late[1]["connection"] == "close"
+            assert await within(idle_reader.read()) == b"", "an idle connection is closed"
+            go_on.set()
+            assert (await within(read_message(reader)))[2] == EVENT + DONE
+            assert await within(program.process.wait()) == 0
+    run(test())
+
+
+def test_a_wrong_configuration_names_the_key(tmp_path):
+    async def test():
+        with pytest.raises(AssertionError, match="limits.sockets: must be at least 64"):
+            async with platform(tmp_path, [], limits={"memory_mb": 192, "sockets": 32}):
+                pass
+    run(test())
