--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import gc
 import os
@@ -63,8 +64,10 @@
 
 def main(arguments: list[str]) -> int:
     """Read the configuration and serve."""
+    parser = argparse.ArgumentParser(prog="hoplane", description="One conductor.")
+    parser.add_argument("file", nargs="?", type=Path, help="serve KServe v2 as this file says")
     try:
-        config = configuration.load(os.environ, Path(arguments[0]) if arguments else None)
+        config = configuration.load(os.environ, parser.parse_args(arguments).file)
         asyncio.run(serve(config))
     except ConfigError as error:
         log.say("bad_configuration", error=str(error))
--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -17,7 +17,7 @@
 from hoplane.decision.interface import ClassSettings, Effect, Role, State, Status
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
-from hoplane.net.server import MARGIN, Server, retry_after
+from hoplane.net.server import MARGIN, Server, retry_after, target
 from hoplane.net.wire import Call, Verdict
 
 MODEL = re.compile(r"/v2/models/([^/]+)(?:/versions/[^/]+)?(/ready|/infer)?")
@@ -141,7 +141,7 @@
     """One client's request on this front."""
 
     def __init__(self, request: web.BaseRequest, asked: Asked, body: bytes) -> None:
-        self.asked, self.body, self.path = asked, body, request.raw_path
+        self.asked, self.body, self.path = asked, body, target(request)
         self.headers = {name: request.headers[name] for name in KEPT_HEADERS if name in request.headers}
         self.sink = WholeSink()
 
@@ -209,7 +209,7 @@
             ready = self.ready(runtime)
             return answer({"name": found[1], "ready": ready}, 200 if ready else 503)
         if not infer:
-            return await self.metadata(runtime, request.raw_path)
+            return await self.metadata(runtime, target(request))
         size = self.server.size(request)
         if not self.server.bodies.take(size):
             return problem(503, "too much at once", timedelta(seconds=1), close=True)
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -14,7 +14,7 @@
 from hoplane.core.events import Asked, Endpoint, Forward, Left, Listed
 from hoplane.decision.interface import State, Status
 from hoplane.net.runtime import Runtime
-from hoplane.net.server import MARGIN, Relay, Server, StreamSink, problem, retry_after
+from hoplane.net.server import MARGIN, Relay, Server, StreamSink, problem, retry_after, target
 from hoplane.net.wire import Call, Verdict
 
 CHAT, READY = "/v1/chat/completions", "/health/ready"
@@ -112,7 +112,7 @@
 
     def __init__(self, request: web.BaseRequest, asked: Asked, body: bytes) -> None:
         self.asked, self.body = asked, body
-        self.method, self.path = request.method, request.raw_path
+        self.method, self.path = request.method, target(request)
         self.kind = request.headers.get("Content-Type", "application/json")
         self.done: asyncio.Future = asyncio.get_running_loop().create_future()
         response = Relay(headers={"Content-Type": "text/event-stream", "Cache-Control": "no-cache"})
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 from aiohttp import TraceConfig
+from yarl import URL
 
 from hoplane.config import Config
 
@@ -76,8 +77,10 @@
 
     def request(self, method: str, address: str, path: str, sent: asyncio.Event | None = None, **more):
         """Send a call; `sent` is set once its first bytes may have gone."""
+        # Guards against yarl writing a path or query anew: it passes on as it came.
+        url = URL(f"http://{address}{path}", encoded=True)
         return self.session.request(
-            method, f"http://{address}{path}", allow_redirects=False, trace_request_ctx=sent, **more
+            method, url, allow_redirects=False, trace_request_ctx=sent, **more
         )
 
     async def get(self, address: str, path: str, within: timedelta) -> tuple[int, bytes] | None:
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -21,14 +21,26 @@
 
 
 class TurnedAway(asyncio.Protocol):
-    """Answers one client connection too many, and closes it."""
+    """Answers the request of one client connection too many, and closes it.
+
+    Guards against a reset that overtakes the answer: it reads what comes and lets the client close first."""
+
+    answered = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        transport.write(
-            b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
-            b"Connection: close\r\nContent-Length: 0\r\n\r\n"
-        )
-        transport.close()
+        self.transport = transport
+        self.end = asyncio.get_running_loop().call_later(LAST.total_seconds(), transport.abort)
+
+    def data_received(self, data: bytes) -> None:
+        if not self.answered:
+            self.answered = True
+            self.transport.write(
+                b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+                b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+            )
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.end.cancel()
 
 
 class Relay(web.StreamResponse):
@@ -100,20 +112,24 @@
         )
 
     def __call__(self) -> asyncio.Protocol:
-        if len(self._connections) < self.most:
+        if len(self._connections) < self.most or self.drop_idle():
             return super().__call__()
         log.say("client_turned_away", connections=self.most)
         return TurnedAway()
 
 
-    def close_idle(self) -> None:
-        """Close the connections that carry no request, and let the others end with their answers."""
-        for connection in self.connections:
+    def drop_idle(self) -> int:
+        """Close the connections that carry no request; gives how many there were."""
+        idle = [each for each in self.connections if each._current_request is None]
+        for connection in idle:
             # Guards against idle connections that stay open: aiohttp's close() ends their task alone.
-            if connection._current_request is None:
-                connection.force_close()
-            else:
-                connection.close()
+            connection.force_close()
+        return len(idle)
+
+    def wind_up(self) -> None:
+        """Close what is idle, and let the other connections end with their answers."""
+        self.drop_idle()
+        self.pre_shutdown()
 
 
 class Bodies:
@@ -172,6 +188,8 @@
         size = request.content_length
         if size is not None and size > BODY_MOST:
             return problem(413, "the body is over 256 KiB", close=True)
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         try:
             async with asyncio.timeout(BODY_WAIT.total_seconds()):
                 return await request.read()
@@ -185,7 +203,7 @@
         self.stopping = True
         await asyncio.sleep(LINGER.total_seconds())
         self.listener.close()
-        self.door.close_idle()
+        self.door.wind_up()
         while self.open:
             await asyncio.sleep(0.005)
         end = asyncio.get_running_loop().time() + LAST.total_seconds()
@@ -193,6 +211,11 @@
             await asyncio.sleep(0.005)
 
 
+def target(request: web.BaseRequest) -> str:
+    """Give a request's path and query as they came, also where the whole URL was sent."""
+    return request.raw_path if request.raw_path.startswith("/") else request.rel_url.raw_path_qs
+
+
 def problem(status: int, text: str, close: bool = False) -> web.Response:
     """Give an answer that says what is wrong."""
     response = web.Response(status=status, text=text + "\n")
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -202,6 +202,9 @@
             yield program
 
 
-def chat(id="r1", cls="lookup", left=4000, body=b'{"stream":true}', facts="prompt_len=100,max_out=20"):
-    return message("POST /v1/chat/completions HTTP/1.1", body, Host="h", X_Correlation_Id=id,
+FACTS = "prompt_len=100,max_out=20"
+
+
+def chat(id="r1", cls="lookup", left=4000, body=b'{"stream":true}', facts=FACTS, query=""):
+    return message(f"POST /v1/chat/completions{query} HTTP/1.1", body, Host="h", X_Correlation_Id=id,
                    X_Service_Class=cls, X_Time_Left_Ms=left, X_Facts=facts, X_Session_Key="s")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -91,6 +91,41 @@
     run(test())
 
 
+def test_path_and_query_pass_unchanged_also_as_a_whole_url_and_after_100_continue(tmp_path):
+    async def test():
+        async with desk(tmp_path) as program:
+            query = "?a=%7e%2F&b=+x"
+            assert (await program.ask(chat(query=query)))[0].split()[1] == "200"
+            whole = chat(id="r2", query=query).replace(b"POST /", b"POST http://service.internal/")
+            assert (await program.ask(whole))[0].split()[1] == "200"
+            for call in program.writer.named("POST /v1/chat"):
+                assert call[0].split()[1] == "/v1/chat/completions" + query
+            reader, writer = await program.connect()
+            head, _, body = chat(id="r3").partition(b"\r\n\r\n")
+            writer.write(head + b"\r\nExpect: 100-continue\r\n\r\n")
+            assert (await within(read_message(reader)))[0].split()[1] == "100"
+            writer.write(body)
+            assert (await within(read_message(reader)))[0].split()[1] == "200"
+    run(test())
+
+
+def test_a_client_connection_too_many_takes_an_idle_ones_place_or_is_refused(tmp_path):
+    async def test():
+        async with desk(tmp_path, limits={"memory_mb": 96, "sockets": 64}) as program:
+            idle, _ = await program.connect()
+            kept = []
+            for number in range(16):  # the last one takes the place of the idle one
+                reader, writer = await program.connect()
+                head = chat(id=f"r{number}").partition(b"\r\n\r\n")[0]
+                writer.write(head + b"\r\nExpect: 100-continue\r\n\r\n")
+                assert (await within(read_message(reader)))[0].split()[1] == "100"
+                kept.append(writer)
+            assert await within(idle.read()) == b""
+            first, headers, _ = await program.ask(chat(id="over"))
+            assert first.split()[1] == "503" and headers["retry-after"] and headers["connection"] == "close"
+    run(test())
+
+
 def test_a_stream_that_breaks_ends_without_the_last_chunk(tmp_path):
     async def breaks(call, writer):
         if call[0].startswith("POST /v1/chat"):
