Keep timers of an earlier request from ending a later one with the same id

Saw: the new table of faults on both fronts gave 502 instead of 503 for a lookup that followed a booking with the same id. Checked: the second request ended 5 ms after the first, at the first one's backstop timer. At fault: reducer.on_due knew a timer's request by its id alone; and rules.settle, which took any job of that id for its own and would forget the later request. Timers now name the request's start, settle the job itself. Also: what libraries log comes as JSON lines; tests for release round a silent endpoint, discovery that comes back, and memory under 120 bodies of 256 KiB.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import gc
+import logging
 import os
 import signal
 import sys
@@ -22,6 +23,9 @@
 async def serve(config: Config) -> None:
     """Serve until a signal asks for the end, and then to the end of what was taken."""
     stop = asyncio.Event()
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, told: log.say("loop_fault", text=told["message"], error=repr(told.get("exception")))
+    )
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
     pool = Pool(config)
@@ -64,6 +68,7 @@
 
 def main(arguments: list[str]) -> int:
     """Read the configuration and serve."""
+    logging.basicConfig(level=logging.WARNING, handlers=[log.Lines()])
     parser = argparse.ArgumentParser(prog="hoplane", description="One conductor.")
     parser.add_argument("file", nargs="?", type=Path, help="serve KServe v2 as this file says")
     try:
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -37,6 +37,7 @@
     """A request taken, until its last attempt and hold are in."""
 
     asked: ev.Asked
+    taken: timedelta
     deadline: timedelta
     attempts: list[Attempt] = field(default_factory=list)
     began: bool = False
@@ -101,8 +102,8 @@
         return
     if once:
         state.ledger.start(once)
-    state.requests[event.id] = Request(event, now + event.patience)
-    yield ev.Wake(now + event.patience + BACKSTOP, (event.id, "deadline"))
+    state.requests[event.id] = Request(event, now, now + event.patience)
+    yield ev.Wake(now + event.patience + BACKSTOP, (event.id, None, now))
     yield from decide(state, now, api.Request(
         event.id, event.cls, event.prompt, event.max_out, to_ns(event.patience),
         event.session, event.prefix, event.prefix_len, None, event.tenant, event.retry, event.resumed,
@@ -178,12 +179,13 @@
     if isinstance(event.timer, int):
         yield from decide(state, now, api.Timer(event.timer))
         return
-    id, what = event.timer
+    id, attempt, taken = event.timer
     request = state.requests.get(id)
-    if request is None or request.began:
+    # Guards against a timer of an earlier request with the same id, which would end this one.
+    if request is None or request.began or request.taken != taken:
         return
-    if what != "deadline":
-        yield from abandon(request, what, Status.TIMEOUT)
+    if attempt is not None:
+        yield from abandon(request, attempt, Status.TIMEOUT)
     elif not request.closed:
         # Guards against a module that forgets a request: its time-outs come first, so this is the last word.
         for index in range(len(request.attempts)):
@@ -237,7 +239,7 @@
         patience = request.deadline - now
         if action.timeout and (own := to_span(action.timeout)) < patience:
             patience = own
-            yield ev.Wake(now + own, (action.request, index))
+            yield ev.Wake(now + own, (action.request, index, request.taken))
         yield ev.Forward(action.request, index, endpoint, patience, role is api.Role.READ)
         return []
     request.attempts[index].over = True
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -298,7 +298,7 @@
 
     def settle(self, job: Job | None) -> None:
         """See to it that a request with no attempt out has sent, waits within its limits, or has ended."""
-        if job is None or job.out or job.request.request not in self.jobs:
+        if job is None or job.out or self.jobs.get(job.request.request) is not job:
             return
         if not job.ended:
             self.advance(job)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -43,8 +43,13 @@
     def of(self, kind):
         return [each for each in self.effects if isinstance(each, kind)]
 
-    def ask(self, id="q", cls="safe", **more):
-        return self.do(ev.Asked(id, cls, 2000, 100, 4 * SECOND, session="s", **more))
+    def ask(self, id="q", cls="safe", after=timedelta(), **more):
+        return self.do(ev.Asked(id, cls, 2000, 100, 4 * SECOND, session="s", **more), after)
+
+    def deadline(self):
+        """Give the core's own timer of the request just asked; the module's are numbers."""
+        (wake,) = (each for each in self.of(ev.Wake) if not isinstance(each.timer, int))
+        return wake
 
     def read(self, id="q", holds=1):
         """Play the read to its end; the writer's attempt is out then."""
@@ -109,22 +114,38 @@
 
 def test_the_deadline_runs_no_more_once_the_answer_began(core):
     core.ask()
+    deadline = core.deadline()
     core.read()
     core.do(ev.Began("q", 1))
-    assert core.do(ev.Due(("q", "deadline")), 9 * SECOND) == []
+    assert core.do(ev.Due(deadline.timer), 9 * SECOND) == []
 
 
 @pytest.mark.parametrize(("cls", "answer"), [("safe", ev.Refuse), ("once", ev.Fail)])
 def test_a_deadline_that_passes_at_the_writer_ends_the_request_once(core, cls, answer):
     core.ask(cls=cls)
+    deadline = core.deadline()
     core.read()
-    core.do(ev.Due(("q", "deadline")), 4 * SECOND)
+    core.do(ev.Due(deadline.timer), 4 * SECOND)
     first = core.of(ev.Abandon)
     assert first == [ev.Abandon("q", 1)] and len(core.of(ev.Fail)) == 1
     core.do(ev.Ended("q", 1, Status.CANCELLED), MS)
     assert not core.of(answer) and not core.state.requests
 
 
+def test_a_timer_of_an_earlier_request_with_the_same_id_does_nothing(core):
+    core.ask()
+    timers = [each.timer for each in core.of(ev.Wake)]
+    core.do(ev.HoldAnswered("q", 0, None))
+    core.do(ev.Left("q"))
+    core.do(ev.Ended("q", 0, Status.CANCELLED))
+    core.ask(after=SECOND)
+    core.now += 3 * SECOND
+    for timer in timers:
+        assert not [each for each in core.do(ev.Due(timer)) if not isinstance(each, ev.Wake)]
+    core.do(ev.HoldAnswered("q", 0, None))
+    assert core.read(holds=0).id == "q", "the module still knows the request"
+
+
 def test_ids_that_may_have_run_clash_and_those_that_never_ran_do_not(core):
     core.ask("a", "once", once="id")
     core.ask("b", "once", once="id")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -260,3 +260,52 @@
             async with platform(tmp_path, [], limits={"memory_mb": 192, "sockets": 32}):
                 pass
     run(test())
+
+
+def test_a_release_goes_round_an_endpoint_that_does_not_answer(tmp_path):
+    async def hangs(call, writer):
+        await asyncio.Event().wait()
+
+    async def test():
+        async with desk(tmp_path, read=hangs) as program:
+            assert (await program.ask(chat(left=300)))[0].split()[1] == "503"
+            assert await program.writer.wait_for("DELETE /v1/holds/r1")
+    run(test())
+
+
+def test_discovery_that_goes_and_comes_back_is_heard_again(tmp_path):
+    async def test():
+        async with desk(tmp_path) as program:
+            await program.discovery.wait_for("GET /registry/instances?since=1")
+            program.discovery.play, play = close_it, program.discovery.play
+            await program.discovery.tell([])
+            await program.line("discovery_lost")
+            program.discovery.play = play
+            await program.discovery.tell([{**program.entries[0], "status": "Terminating"}])
+            while (await program.line("endpoints"))["not_live"] != {"r1": "draining"}:
+                pass
+            await program.line("discovery_back")
+    run(test())
+
+
+async def close_it(call, writer):
+    writer.close()
+
+
+def test_bodies_are_refused_before_they_take_the_memory(tmp_path):
+    async def hangs(call, writer):
+        await asyncio.Event().wait()
+
+    async def test():
+        limits = {"memory_mb": 96, "sockets": 1024}
+        async with desk(tmp_path, read=hangs, limits=limits) as program:
+            body = b'{"a":"' + b"x" * 262000 + b'"}'
+            asked = [chat(id=f"r{n}", left=3000, body=body) for n in range(120)]
+            answers = await asyncio.gather(*map(program.ask, asked))
+            assert {first.split()[1] for first, _, _ in answers} == {"503"}
+            assert sum(body == b"too much at once\n" for _, _, body in answers) >= 120 - 48
+            with open(f"/proc/{program.process.pid}/status") as status:
+                peak = next(int(line.split()[1]) for line in status if line.startswith("VmHWM"))
+            assert peak < 96 * 1024, "kilobytes, at the most that it ever held"
+            assert await program.stop() == 0
+    run(test())
