--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -15,6 +15,7 @@
 BODY_WAIT = timedelta(seconds=10)  # for a body to arrive
 LINGER = timedelta(seconds=0.5)  # after SIGTERM, as clients keep coming for 0.2 to 0.4 s
 MARGIN = timedelta(milliseconds=20)  # of a client's patience, for the answer's way and a busy loop
+RETURN = timedelta(milliseconds=200)  # the least that a refused client is asked to stay away
 LAST = timedelta(seconds=2)  # for the last bytes to leave
 
 Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
@@ -225,5 +226,7 @@
 
 
 def retry_after(pause: timedelta) -> str:
-    """Give the header's value: seconds, decimal, and never less than a blink."""
-    return f"{max(pause, timedelta(milliseconds=50)).total_seconds():.3f}"
+    """Give the header's value in decimal seconds.
+
+    Guards against a module with no advice (0), which would call clients back at once into the same jam."""
+    return f"{max(pause, RETURN).total_seconds():.3f}"
