--- a/hoplane/__init__.py
+++ b/hoplane/__init__.py
@@ -1,7 +1,7 @@
-"""hoplane: the decisions of a router in front of split reading and writing model servers."""
+"""hoplane: a conductor in front of split reading and writing model servers."""
 
 from hoplane.decision.interface import Settings
 from hoplane.decision.rules import Router
 
 __all__ = ["Router", "Settings"]
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -36,6 +36,15 @@
         writer.write(message("HTTP/1.1 409 Conflict"))
 
 
+async def hang(call, writer):
+    await asyncio.Event().wait()
+
+
+async def never_read(call, writer):
+    """Play a reader that never ends a read, and answers all else."""
+    await (hang if call[0].startswith("POST /v1/chat") else read_it)(call, writer)
+
+
 @asynccontextmanager
 async def desk(tmp_path, read=read_it, write=write_it, **changes):
     async with Server(read) as reader, Server(write) as writer:
@@ -167,13 +176,8 @@
 
 
 def test_a_client_that_leaves_ends_the_read_and_what_it_left_is_released(tmp_path):
-    async def hangs(call, writer):
-        if call[0].startswith("POST /v1/chat"):
-            await asyncio.Event().wait()
-        await read_it(call, writer)
-
     async def test():
-        async with desk(tmp_path, read=hangs) as program:
+        async with desk(tmp_path, read=never_read) as program:
             _, writer = await program.connect()
             writer.write(chat())
             await program.reader.wait_for("POST /v1/chat")
@@ -184,13 +188,8 @@
 
 
 def test_a_request_out_of_time_is_answered_and_released(tmp_path):
-    async def hangs(call, writer):
-        if call[0].startswith("POST /v1/chat"):
-            await asyncio.Event().wait()
-        await read_it(call, writer)
-
     async def test():
-        async with desk(tmp_path, read=hangs) as program:
+        async with desk(tmp_path, read=never_read) as program:
             first, headers, _ = await program.ask(chat(left=300))
             assert first.split()[1] == "503" and float(headers["retry-after"]) > 0
             await program.reader.wait_for("DELETE /v1/holds/r1")
@@ -263,11 +262,8 @@
 
 
 def test_a_release_goes_round_an_endpoint_that_does_not_answer(tmp_path):
-    async def hangs(call, writer):
-        await asyncio.Event().wait()
-
     async def test():
-        async with desk(tmp_path, read=hangs) as program:
+        async with desk(tmp_path, read=hang) as program:
             assert (await program.ask(chat(left=300)))[0].split()[1] == "503"
             assert await program.writer.wait_for("DELETE /v1/holds/r1")
     run(test())
@@ -293,12 +289,9 @@
 
 
 def test_bodies_are_refused_before_they_take_the_memory(tmp_path):
-    async def hangs(call, writer):
-        await asyncio.Event().wait()
-
     async def test():
         limits = {"memory_mb": 96, "sockets": 1024}
-        async with desk(tmp_path, read=hangs, limits=limits) as program:
+        async with desk(tmp_path, read=hang, limits=limits) as program:
             body = b'{"a":"' + b"x" * 262000 + b'"}'
             asked = [chat(id=f"r{n}", left=3000, body=body) for n in range(120)]
             answers = await asyncio.gather(*map(program.ask, asked))
