--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -170,7 +170,7 @@
     def __init__(self, config: Config, pool: Pool) -> None:
         self.config, self.pool = config, pool
         self.classes = {cls.name: cls for cls in config.settings.classes}
-        self.server = Server(config, self.handle)
+        self.server = Server(config, self.handle, problem)
         self.models: dict[str, Runtime] = {}
         self.numbers = count(1)
 
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -150,7 +150,7 @@
     def __init__(self, config: Config, runtime: Runtime) -> None:
         self.config, self.runtime = config, runtime
         self.classes = {cls.name: cls for cls in config.settings.classes}
-        self.server, self.runtimes = Server(config, self.handle), [runtime]
+        self.server, self.runtimes = Server(config, self.handle, problem), [runtime]
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -152,8 +152,8 @@
 class Server:
     """Serves one front on one address."""
 
-    def __init__(self, config: Config, handler: Handler) -> None:
-        self.config, self.handler = config, handler
+    def __init__(self, config: Config, handler: Handler, problem: Callable[..., web.Response]) -> None:
+        self.config, self.handler, self.problem = config, handler, problem
         self.bodies = Bodies(config.limits.bodies)
         self.stopping = False
         self.open = 0
@@ -171,6 +171,10 @@
         self.open += 1
         try:
             response = await self.handler(request)
+        except Exception as error:
+            # Guards against a fault of ours that ends a connection unanswered, or in words of another wire.
+            log.say("request_broke", error=repr(error))
+            response = self.problem(500, "a fault of the conductor")
         finally:
             self.open -= 1
         if self.stopping and not response.prepared:
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -8,10 +8,12 @@
 
 from hoplane.config import platform
 from hoplane.core.events import Asked, Left
+from hoplane.fronts.kserve import problem
 from hoplane.fronts.platform import hold_path, read_list
 from hoplane.net.discovery import Discovery
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
+from hoplane.net.server import Server as Door
 
 
 async def let_go(call, writer):
@@ -41,6 +43,17 @@
     asyncio.run(test())
 
 
+def test_a_fault_of_ours_is_answered_in_the_words_of_the_front():
+    async def broken(request):
+        raise RuntimeError("a fault")
+
+    async def test():
+        told = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "settings": SETTINGS}
+        answer = await Door(platform(told), broken, problem).handle(None)
+        assert answer.status == 500 and json.loads(answer.body)["error"]
+    asyncio.run(test())
+
+
 def test_connections_are_bounded_and_idle_ones_give_way():
     async def test():
         async with Server(let_go) as reader, Server(let_go) as writer:
