Take SIGHUP: read the configuration anew, move the watch, keep the old one if it is bad

Cause: no handler, so the signal's default ended the process (__main__.py, serve). Excluded by reading: a fault in discovery's watch, as the process was gone before the watch could matter; and the loop's own add_signal_handler is no remedy alone, as closing the loop restores the default while the process still ends.

Now a reload reads and checks the whole new file before anything moves; a bad one is logged with its key and changes nothing. The watch moves to the new address and asks for the whole list. EDGE_DISCOVERY is as old as the process and no longer hides the file's address on a reload. SIGHUP is ignored before the start and after the end. The v2 front reloads its files the same way.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -7,63 +7,97 @@
 import gc
 import logging
 import os
-import signal
 import sys
+from collections.abc import Callable
+from dataclasses import fields, replace
 from pathlib import Path
 
 from hoplane import config as configuration
 from hoplane import log, xds
 from hoplane.config import Config, ConfigError
 from hoplane.fronts import kserve, platform
+from hoplane.net import signals
 from hoplane.net.discovery import Discovery
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
 
 
-async def serve(config: Config) -> None:
-    """Serve until a signal asks for the end, and then to the end of what was taken."""
-    stop = asyncio.Event()
-    asyncio.get_running_loop().set_exception_handler(
-        lambda loop, told: log.say("loop_fault", text=told["message"], error=repr(told.get("exception")))
-    )
-    for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stop.set)
-    pool = Pool(config)
-    front, watch = beside(config, pool) if config.files else on_platform(config, pool)
-    watching = asyncio.create_task(watch.watch())
-    await front.server.start()
-    gc.collect()
-    gc.freeze()  # what lives from the start to the end need not be looked at again and again
-    log.say("started", name=config.name, listen="{}:{}".format(*config.listen), pid=os.getpid())
-    await stop.wait()
-    log.say("stopping", open=front.server.open)
-    await front.server.stop()
-    for runtime in front.runtimes:
-        await runtime.rest()
-    watching.cancel()
-    await pool.close()
-    log.say("stopped")
-
-
-def on_platform(config: Config, pool: Pool) -> tuple[platform.Platform, Discovery]:
-    """Put the platform's front and its discovery together."""
-    runtime = Runtime(config, pool, platform.hold_path)
-    watch = Discovery(pool, "{}:{}".format(*config.discovery), platform.read_list, runtime.feed)
-    if config.known.get("endpoints"):
+class Conductor:
+    """One conductor at work: its front, its watch and what a reload changes."""
+
+    def __init__(self, config: Config, again: Callable[[], Config]) -> None:
+        self.config, self.again = config, again
+        self.pool = Pool(config)
+        self.front, self.watch = self.beside() if config.files else self.on_platform()
+        self.watching = asyncio.create_task(self.watch.watch())
+
+    def on_platform(self) -> tuple[platform.Platform, Discovery]:
+        """Put the platform's front and its discovery together."""
+        config = self.config
+        runtime = Runtime(config, self.pool, platform.hold_path)
+        watch = Discovery(self.pool, "{}:{}".format(*config.discovery), platform.read_list, runtime.feed)
+        if config.known.get("endpoints"):
+            try:
+                watch.take({**config.known, "snapshot": True})
+            except ValueError as error:
+                raise ConfigError(f"known: {error}") from None
+        return platform.Platform(config, runtime), watch
+
+    def beside(self) -> tuple[kserve.KServe, xds.Files]:
+        """Put the v2 front and its files together; at the start they must be whole."""
+        front = kserve.KServe(self.config, self.pool)
+        watch = xds.Files(*self.config.files, front.feed)
+        if broken := watch.look():
+            raise ConfigError(broken)
+        return front, watch
+
+    def reload(self) -> None:
+        """Read the configuration anew; README tells what each key does. A bad one changes nothing.
+
+        Guards against a watch that stays with an address that discovery has left."""
         try:
-            watch.take({**config.known, "snapshot": True})
-        except ValueError as error:
-            raise ConfigError(f"known: {error}") from None
-    return platform.Platform(config, runtime), watch
+            new = self.again()
+            watch = self.watch.moved(new)
+        except ConfigError as error:
+            log.say("reload_failed", error=str(error))
+            return
+        self.watching.cancel()
+        self.watch, self.watching = watch, asyncio.create_task(watch.watch())
+        self.front.server.resize(new.limits)
+        self.pool.most = new.limits.upstreams
+        known = (*configuration.RELOADED, *configuration.IGNORED)
+        wait = [
+            name for name in (field.name for field in fields(new))
+            if name not in known and getattr(self.config, name) != getattr(new, name)
+        ]
+        self.config = replace(self.config, **{name: getattr(new, name) for name in configuration.RELOADED})
+        log.say("reloaded", watch=str(watch), at_next_start=wait)
+
+    async def serve(self) -> None:
+        """Serve until a signal asks for the end, and then to the end of what was taken."""
+        stop = asyncio.Event()
+        await self.front.server.start()
+        signals.heed(stop.set, self.reload)
+        gc.collect()
+        gc.freeze()  # what lives from the start to the end need not be looked at again and again
+        log.say("started", name=self.config.name, listen="{}:{}".format(*self.config.listen), pid=os.getpid())
+        await stop.wait()
+        log.say("stopping", open=self.front.server.open)
+        await self.front.server.stop()
+        for runtime in self.front.runtimes:
+            await runtime.rest()
+        signals.ignore_reload()
+        self.watching.cancel()
+        await self.pool.close()
+        log.say("stopped")
 
 
-def beside(config: Config, pool: Pool) -> tuple[kserve.KServe, xds.Files]:
-    """Put the v2 front and its files together; at the start they must be whole."""
-    front = kserve.KServe(config, pool)
-    watch = xds.Files(*config.files, front.feed)
-    if broken := watch.look():
-        raise ConfigError(broken)
-    return front, watch
+async def serve(config: Config, again: Callable[[], Config]) -> None:
+    """Serve to the end."""
+    asyncio.get_running_loop().set_exception_handler(
+        lambda loop, told: log.say("loop_fault", text=told["message"], error=repr(told.get("exception")))
+    )
+    await Conductor(config, again).serve()
 
 
 def main(arguments: list[str]) -> int:
@@ -71,9 +105,11 @@
     logging.basicConfig(level=logging.WARNING, handlers=[log.Lines()])
     parser = argparse.ArgumentParser(prog="hoplane", description="One conductor.")
     parser.add_argument("file", nargs="?", type=Path, help="serve KServe v2 as this file says")
+    file = parser.parse_args(arguments).file
+    signals.ignore_reload()
     try:
-        config = configuration.load(os.environ, parser.parse_args(arguments).file)
-        asyncio.run(serve(config))
+        config = configuration.load(os.environ, file)
+        asyncio.run(serve(config, lambda: configuration.load(os.environ, file, again=True)))
     except ConfigError as error:
         log.say("bad_configuration", error=str(error))
         return 2
--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -63,8 +63,12 @@
     files: tuple[Path, ...] = ()  # clusters and endpoints in xDS form, for the v2 front
 
 
-def load(environ: Mapping[str, str], file: Path | None = None) -> Config:
-    """Read what the platform tells, or a file of ours for the v2 front."""
+RELOADED = ("discovery", "files", "limits")  # what a reload puts in force; the rest waits for a start
+IGNORED = ("seed", "known")  # what is new with each start, and of no use to a reload
+
+
+def load(environ: Mapping[str, str], file: Path | None = None, again: bool = False) -> Config:
+    """Read what the platform tells, or a file of ours for the v2 front; `again` for a reload."""
     if file is not None:
         return from_file(file)
     try:
@@ -74,7 +78,8 @@
     if not isinstance(raw, dict):
         raise ConfigError("EDGE_CONFIG: must be an object")
     for key, name in (("name", "EDGE_NAME"), ("listen", "EDGE_LISTEN"), ("discovery", "EDGE_DISCOVERY")):
-        if environ.get(name):
+        # Guards against an environment as old as the process, which must not hide a reload's new address.
+        if environ.get(name) and not (again and key in RELOADED):
             raw[key] = environ[name]
     return platform(raw)
 
--- a/hoplane/net/discovery.py
+++ b/hoplane/net/discovery.py
@@ -10,6 +10,7 @@
 import orjson
 
 from hoplane import log
+from hoplane.config import Config
 from hoplane.core.events import Listed
 from hoplane.net.pool import Pool
 
@@ -26,6 +27,13 @@
         self.index: int | None = None
         self.failing = False
 
+    def __str__(self) -> str:
+        return self.address
+
+    def moved(self, config: Config) -> Discovery:
+        """Give a new configuration's watch: another agent may number lists anew, so it asks for all."""
+        return Discovery(self.pool, "{}:{}".format(*config.discovery), self.read, self.feed)
+
     def take(self, answer: object) -> None:
         """Take an answer in: a whole list replaces all, changes apply to a list we have."""
         if not isinstance(answer, dict) or not isinstance(answer.get("index"), int):
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from hoplane import log
-from hoplane.config import BODY_MOST, Config
+from hoplane.config import BODY_MOST, Config, Limits
 
 KEEP = timedelta(seconds=75)  # an idle client connection
 BODY_WAIT = timedelta(seconds=10)  # for a body to arrive
@@ -137,7 +137,11 @@
     """The memory that bodies take; what would go over the bound is refused before it is read."""
 
     def __init__(self, most: int) -> None:
-        self.left = most
+        self.most = self.left = most
+
+    def resize(self, most: int) -> None:
+        self.left += most - self.most
+        self.most = most
 
     def take(self, size: int) -> bool:
         if size > self.left:
@@ -160,6 +164,11 @@
         self.door = Door(self.handle, config.limits.clients)
         self.listener: asyncio.Server | None = None
 
+    def resize(self, limits: Limits) -> None:
+        """Put new limits in force; what is over them ends by itself."""
+        self.door.most = limits.clients
+        self.bodies.resize(limits.bodies)
+
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
--- a/hoplane/xds.py
+++ b/hoplane/xds.py
@@ -11,6 +11,7 @@
 import orjson
 
 from hoplane import log
+from hoplane.config import Config, ConfigError
 from hoplane.core.events import Endpoint, Listed
 from hoplane.decision.interface import State
 
@@ -129,6 +130,17 @@
         self.seen: object = None
         self.told: dict[str, Listed] = {}
 
+    def __str__(self) -> str:
+        return ", ".join(path.name for path in self.paths)
+
+    def moved(self, config: Config) -> Files:
+        """Give the watch of a new configuration, once its files are found whole; it knows what was told."""
+        files = Files(*config.files, self.feed)
+        files.told = self.told
+        if broken := files.look():
+            raise ConfigError(broken)
+        return files
+
     def stamp(self) -> object:
         """Give what changes when a file does; a replaced file has another inode."""
         stats = []
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -153,6 +153,13 @@
             if self.log[-1]["event"] == event:
                 return self.log[-1]
 
+    def reload(self, text=None, **changes):
+        """Write the configuration file anew and send SIGHUP."""
+        new = self.file.with_suffix(".new")
+        new.write_text(json.dumps({**self.told, **changes}) if text is None else text)
+        new.rename(self.file)
+        self.process.send_signal(signal.SIGHUP)
+
     async def stop(self):
         self.process.send_signal(signal.SIGTERM)
         return await within(self.process.wait())
@@ -198,7 +205,7 @@
         file = tmp_path / "config.json"
         file.write_text(json.dumps(told))
         async with started(address=address, EDGE_CONFIG=str(file)) as program:
-            program.discovery = discovery
+            program.discovery, program.file, program.told = discovery, file, told
             yield program
 
 
--- a/tests/test_kserve.py
+++ b/tests/test_kserve.py
@@ -62,7 +62,7 @@
     file = tmp_path / "xds/endpoints.json"
     file.write_text(assignment(*[(server.address, "HEALTHY") for server in servers]))
     async with started(str(tmp_path / "kserve.toml"), address=address) as program:
-        program.file = file
+        program.endpoints, program.file = file, tmp_path / "kserve.toml"
         yield program
 
 
@@ -111,7 +111,7 @@
             assert await status(program, get("/v2/models/other/ready")) == 404
             assert await status(program, get("/elsewhere")) == 404
             assert await status(program, infer(model="other")) == 404
-            program.file.write_text(assignment((server.address, "DRAINING")))
+            program.endpoints.write_text(assignment((server.address, "DRAINING")))
             await program.line("endpoints")
             first, _, _ = await program.ask(get("/v2/models/desk/ready"))
             assert first.split()[1] == "503"
@@ -138,7 +138,7 @@
             assert await status(program, infer(id="b1")) == 409, "it may have run"
             assert len(bad.calls) == 1
             async with Server(serve) as good:
-                program.file.write_text(assignment((bad.address, "HEALTHY"), (good.address, "HEALTHY")))
+                program.endpoints.write_text(assignment((bad.address, "HEALTHY"), (good.address, "HEALTHY")))
                 await program.line("endpoints")
                 for number in range(8):
                     assert await status(program, infer(id=f"l{number}", cls="lookup")) == 200
@@ -204,10 +204,10 @@
 def test_drains_and_broken_files(tmp_path):
     async def test():
         async with Server(serve) as old, Server(serve) as new, sidecar(tmp_path, old) as program:
-            program.file.write_text('{"resources": [')
+            program.endpoints.write_text('{"resources": [')
             assert "endpoints.json" in (await program.line("xds_broken"))["file"]
             assert await status(program, infer(id="b1")) == 200, "the last good list stays"
-            program.file.write_text(assignment((old.address, "DRAINING"), (new.address, "HEALTHY")))
+            program.endpoints.write_text(assignment((old.address, "DRAINING"), (new.address, "HEALTHY")))
             before = asyncio.get_running_loop().time()
             await program.line("endpoints")
             assert asyncio.get_running_loop().time() - before < 1
@@ -215,3 +215,21 @@
                 assert await status(program, infer(id=f"c{number}")) == 200
             assert len(old.calls) == 1 and len(new.calls) == 5
     run(test())
+
+
+def test_a_reload_moves_to_other_files_and_a_broken_one_changes_nothing(tmp_path):
+    async def test():
+        async with Server(serve) as old, Server(serve) as new, sidecar(tmp_path, old) as program:
+            text = program.file.read_text()
+            other = tmp_path / "xds/other.json"
+            other.write_text("{")
+            program.reload(text.replace("endpoints.json", "other.json"))
+            assert "other.json" in (await program.line("reload_failed"))["error"]
+            assert await status(program, infer(id="b1")) == 200
+            other.write_text(assignment((new.address, "HEALTHY")))
+            program.reload(text.replace("endpoints.json", "other.json"))
+            assert "other.json" in (await program.line("reloaded"))["watch"]
+            assert await status(program, infer(id="b1")) == 409, "the ledger goes on"
+            assert await status(program, infer(id="b2")) == 200
+            assert len(old.calls) == 1 and len(new.calls) == 1
+    run(test())
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,7 +1,8 @@
 """The program on the platform's protocol, as clients, endpoints and discovery see it."""
 
 import asyncio
-from contextlib import asynccontextmanager
+import signal
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 from standins import (
@@ -9,6 +10,7 @@
     EVENT,
     STREAM,
     USAGE,
+    Discovery,
     Server,
     chat,
     chunk,
@@ -284,6 +286,53 @@
     run(test())
 
 
+def test_a_reload_moves_the_watch_and_a_bad_file_changes_nothing(tmp_path):
+    async def test():
+        async with Server(write_it) as second, desk(tmp_path) as program:
+            await program.discovery.wait_for("GET /registry/instances?since=1")
+            program.reload("{")
+            assert "EDGE_CONFIG" in (await program.line("reload_failed"))["error"]
+            program.reload(discovery="nowhere")
+            assert "discovery: must be HOST:PORT" in (await program.line("reload_failed"))["error"]
+            assert not program.discovery.closed.qsize(), "the watch goes on"
+            listed = [program.entries[0], entry("w2", second.address, "decode")]
+            async with Discovery(listed) as moved:
+                program.reload(discovery=moved.address, name="other")
+                told = await program.line("reloaded")
+                assert told["watch"] == moved.address and told["at_next_start"] == ["name"]
+                assert await within(program.discovery.closed.get()), "the old watch is closed"
+                (call, *_) = await moved.wait_for("GET /registry/instances")
+                assert "since" not in call[0], "another agent numbers its lists anew"
+                while (await program.line("endpoints"))["known"] != 2:
+                    pass
+                assert (await program.ask(chat()))[0].split()[1] == "200"
+                assert len(second.named("POST /v1/chat")) == 1 and not program.writer.named("POST")
+                await moved.tell([{**listed[0], "status": "Terminating"}])
+                while (await program.line("endpoints"))["not_live"] != {"r1": "draining"}:
+                    pass
+    run(test())
+
+
+def test_sighup_never_ends_the_program_also_while_it_stops(tmp_path):
+    async def test():
+        async with desk(tmp_path, write=hang) as program:
+            reader, writer = await program.connect()
+            writer.write(chat(left=900))
+            await program.writer.wait_for("POST /v1/chat")
+            program.process.terminate()
+            await program.line("stopping")
+            program.reload()
+            await program.line("reloaded")
+            assert (await within(read_message(reader)))[0].split()[1] == "503"
+            while program.process.returncode is None:  # up to the very end
+                program.process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0)
+                with suppress(TimeoutError):
+                    await asyncio.wait_for(asyncio.shield(program.process.wait()), 0.002)
+            assert program.process.returncode == 0
+    run(test())
+
+
 async def close_it(call, writer):
     writer.close()
 
