Count only open sockets against the bound on connections to endpoints

A line a second on the conductor's own picture against its real sockets showed why: at 38 s it counted 239 sockets of 240 while 92 were open (37 attempts and holds, 55 idle); each further connection failed, released, tried again. At 41 s the garbage collector came round and the count fell to 114.

Cause: pool.py counted sockets by weak references, and closed ones lived on in reference cycles of the client's errors until a collection. Excluded: cut-off endpoints (the calls failed in one millisecond, not after a time-out), real exhaustion (open sockets and descriptors were far below the bound), the module (it asked for each release).

Now a full count is taken again without the closed ones.

--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -49,6 +49,9 @@
 
     def open(self, info: tuple) -> socket.socket:
         """Make a socket, unless that would take more than our part of the descriptors."""
+        if len(self.sockets) >= self.most:
+            # Guards against counting closed ones, which stay in memory till a garbage collection.
+            self.sockets = WeakSet(each for each in self.sockets if each.fileno() >= 0)
         # A dropped one closes a moment later, so one new connection may go before it.
         if len(self.sockets) >= self.most and not self.drop_idle():
             raise OSError("no socket is left for another connection")
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 from datetime import timedelta
 
 from standins import SETTINGS, Server, entry, message, within
@@ -68,6 +69,19 @@
     asyncio.run(test())
 
 
+def test_closed_connections_take_no_place():
+    async def test():
+        async with Server(let_go) as reader, Server(let_go) as writer:
+            pool = start(reader, writer, limits={"sockets": 64, "memory_mb": 96}).pool
+            second = timedelta(seconds=5)
+            closed = [pool.open((socket.AF_INET, socket.SOCK_STREAM, 0)) for _ in range(pool.most)]
+            for made in closed:  # still referred to, as by the cycles that only the garbage collector ends
+                made.close()
+            assert await pool.call("DELETE", reader.address, "/v1/holds/a", second) == 204
+            await pool.close()
+    asyncio.run(test())
+
+
 def test_discovery_applies_lists_and_changes_and_asks_anew_after_a_step_back():
     told = []
     watch = Discovery(None, "", read_list, told.append)
