Leave silent readers in time, set aside what fails twice in a row, drop stale connections

Excluded: the loop's lag (7 ms at most) and the pool (no attempt failed for want of a socket).

Numbers are kept for listed endpoints only, session and prefix keys are bounded, garbage is collected every 10 s.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -10,6 +10,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import fields, replace
+from datetime import timedelta
 from pathlib import Path
 
 from hoplane import config as configuration
@@ -21,6 +22,8 @@
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
 
+TIDY = timedelta(seconds=10)  # between collections of garbage, which take 5 to 8 ms
+
 
 class Conductor:
     """One conductor at work: its front, its watch and what a reload changes."""
@@ -73,6 +76,12 @@
         self.config = replace(self.config, **{name: getattr(new, name) for name in configuration.RELOADED})
         log.say("reloaded", watch=str(watch), at_next_start=wait)
 
+    async def tidy(self) -> None:
+        """Guard against closed connections that stay in memory, tied in cycles, till a full collection."""
+        while True:
+            await asyncio.sleep(TIDY.total_seconds())
+            gc.collect()
+
     async def serve(self) -> None:
         """Serve until a signal asks for the end, and then to the end of what was taken."""
         stop = asyncio.Event()
@@ -81,12 +90,14 @@
         gc.collect()
         gc.freeze()  # what lives from the start to the end need not be looked at again and again
         log.say("started", name=self.config.name, listen="{}:{}".format(*self.config.listen), pid=os.getpid())
+        tidying = asyncio.create_task(self.tidy())
         await stop.wait()
         log.say("stopping", open=self.front.server.open)
         await self.front.server.stop()
         for runtime in self.front.runtimes:
             await runtime.rest()
         signals.ignore_reload()
+        tidying.cancel()
         self.watching.cancel()
         await self.pool.close()
         log.say("stopped")
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -205,6 +205,8 @@
     for number, each in known.items():
         if each.state is api.State.GONE:
             del state.fleet[number]
+    # Guards against a table that grows with each endpoint that ever was; a name's number is the same again.
+    state.numbers = {each.name: number for number, each in state.fleet.items()}
     entries = tuple(
         api.Entry(number, each.kind, each.zone, each.cell, each.state, each.weight, to_ns(each.started))
         for number, each in known.items()
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -40,7 +40,8 @@
 
 SLOW = 4.0  # multiple of the usual first step that makes a writer slow
 SILENT = 6.0  # multiple of the mean time of a stage, with no sign of life, that makes a server silent
-SILENT_MIN = 1.5  # and at least this multiple of the shortest aim
+SILENT_MIN = {True: 0.5, False: 1.5}  # and at least this multiple of the shortest aim, for reads and writes
+ERRORS = 2  # answers in a row that failed, after which a server is held to be down
 ASIDE, ASIDE_MOST = SECOND, 8 * SECOND  # a dead or silent server stays aside, doubled up to the most
 COLD_PART = 0.4  # of what a cold server must stand, over all routers
 SWEEP = 50 * MS  # how often servers are looked over and waiting requests tried again
@@ -166,11 +167,16 @@
         job, server, status = attempt.job, attempt.server, event.status
         attempt.drop()
         attempt.risky = not attempt.reads and status in RISKY
+        attempt.failed = status in (*RISKY, Status.CONNECT_FAILED)
         job.ended = job.ended or event.closed
         if status in (Status.OK, Status.MISS):
             self.alive(server)
         elif status in (Status.CONNECT_FAILED, Status.RESET):
             self.note(Symptom.DOWN, server)
+        elif status is Status.ERROR:  # guards against one that fails at once, and so seems least busy
+            server.errors += 1
+            if server.errors >= ERRORS:
+                self.note(Symptom.DOWN, server)
         elif status in (Status.CANCELLED, Status.TIMEOUT) and attempt.reads:  # it waited longer still
             self.waited(server, event.elapsed, attempt.unread)
         elif status is Status.FULL and event.note != 1:
@@ -218,7 +224,7 @@
         self.actions.append(api.SetTimer(self.now + span, self.timers.add(callback)))
 
     def alive(self, server: Server) -> None:
-        server.heard, server.strikes, server.aside_until = self.now, 0, 0
+        server.heard, server.strikes, server.aside_until, server.errors = self.now, 0, 0, 0
 
     def waited(self, server: Server, took: int, unread: int) -> None:
         server.lag, server.lag_at = took - self.reading_time(unread), self.now
@@ -277,7 +283,8 @@
         waiting = [job for job in self.jobs.values() if not job.settled]
         for server in dict.fromkeys(attempt.server for job in waiting for attempt in job.out):
             if oldest := server.oldest:
-                limit = max(SILENT * (self.stage[oldest.reads].value or 0), SILENT_MIN * shortest)
+                usual, least = self.stage[oldest.reads].value or 0, SILENT_MIN[oldest.reads] * shortest
+                limit = max(SILENT * usual, least) + self.reading_time(oldest.unread)
                 silent = self.now - max(oldest.sent, server.heard) > limit
                 if silent and self.strike(server, sure=False):
                     self.stage[oldest.reads].add(self.now - oldest.sent, BLEND)
@@ -508,11 +515,12 @@
         room = [s for s in ring if s.waiting <= bound and self.delay(s) <= slack]
         past = (s for s in ring if s not in room)
         ends = {s: self.delay(s) + self.reading_time(s.waiting + self.unread(job, s)) for s in past}
-        return room + sorted(ends, key=ends.__getitem__)
+        failed = {attempt.server for attempt in job.attempts if attempt.failed}
+        return sorted(room + sorted(ends, key=ends.__getitem__), key=failed.__contains__)
 
     def writers(self, job: Job) -> list[Server]:
         """Give the writers: a held place first, what failed or refused last, ties drawn lest all meet."""
-        failed = {attempt.server for attempt in job.attempts if attempt.risky}
+        failed = {attempt.server for attempt in job.attempts if attempt.failed}
         order = {s: (s is not job.place, s in failed, s in job.asked, self.cost(job, s), self.rng.random())
                  for s in self.usable(WRITERS, job.pair)}
         return sorted(order, key=order.__getitem__)
--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -80,6 +80,7 @@
     lag_at: int = 0
     heard: int = 0  # when it last showed a sign of life
     strikes: int = 0  # failures in a row
+    errors: int = 0  # answers in a row that were errors, or could not be read
     aside_until: int = 0
     slow_until: int = 0
     full: dict[tuple[str | None, str], int] = field(default_factory=dict)  # until when, by tenant and class
@@ -128,6 +129,7 @@
     began: bool = False
     over: bool = False
     risky: bool = False  # it may have run
+    failed: bool = False  # it served nothing: another server comes first for the next
 
     def take(self) -> None:
         """Book it as out."""
--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -27,6 +27,7 @@
 PASSED = range(400, 500)  # the endpoint's own word on the request, which another would repeat
 NOT_PASSED = (408, 429)
 ASK_WAIT = timedelta(seconds=1)
+KEY_MOST = 256
 LONGEST = timedelta(hours=1)
 
 
@@ -64,6 +65,8 @@
         return default
     if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
         raise ValueError(f"parameters.{name}: must be of the type {kind.__name__}")
+    if kind is str and len(value) > KEY_MOST:  # guards the module's tables, which keep them for minutes
+        raise ValueError(f"parameters.{name}: is at most {KEY_MOST} characters")
     if kind is int and not 0 <= value < 10**9:
         raise ValueError(f"parameters.{name}: is out of range")
     return value
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -26,6 +26,7 @@
 # A status that the protocol does not name gets nothing new.
 STATES = {"Ready": State.LIVE, "Terminating": State.DRAINING, "Gone": State.GONE}
 ID_FORM = re.compile(r"[A-Za-z0-9_.:-]{1,128}")
+KEY_MOST = 256
 CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d{1,9})')
 LOAD_LINE = re.compile(rb"^: ?" + LOAD.encode() + rb": ?([^\r\n]*)", re.MULTILINE | re.IGNORECASE)
 
@@ -80,11 +81,14 @@
         if not (value.isascii() and value.isdecimal()) or len(value) > 9:
             raise ValueError(f"{FACTS}: {name} must be a whole number")
         lengths[name] = int(value)
+    session, prefix = headers.get(SESSION, ""), facts.get("prefix", "")
+    if max(len(session), len(prefix)) > KEY_MOST:  # guards the module's tables, which keep them for minutes
+        raise ValueError(f"{SESSION} and prefix: are at most {KEY_MOST} characters")
     repeat = headers.get(REPEAT)
     return Asked(
         id, cls, lengths["prompt_len"], lengths["max_out"],
         max(timedelta(), timedelta(milliseconds=int(left)) - MARGIN),
-        headers.get(SESSION) or None, facts.get("prefix") or None, lengths["prefix_len"],
+        session or None, prefix or None, lengths["prefix_len"],
         None, repeat is not None and repeat != "again", repeat == "again",
     )
 
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -113,11 +113,11 @@
         super().__init__(**settings)
         self._factory = functools.partial(Peer, loop=self._loop)
 
-    def drop_idle(self) -> int:
-        """Close the idle connections, as others are needed now; gives how many there were."""
+    def drop_idle(self, address: str | None = None) -> int:
+        """Close the idle connections, to one endpoint or to all; gives how many there were."""
         dropped = 0
-        for kept in list(self._conns.values()):
-            while kept:
+        for key, kept in list(self._conns.items()):
+            while kept and address in (None, f"{key.host}:{key.port}"):
                 protocol, _ = kept.popleft()
                 if protocol.transport is not None:
                     protocol.transport.abort()
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -26,6 +26,7 @@
 HEAD_MOST = 64 * 1024  # bytes read of an answer that is not a stream
 TAIL = 2048  # bytes kept of a stream's end, where usage and the load report stand
 RELEASE_TRY = timedelta(milliseconds=70)  # then another endpoint is asked as well
+UNHEARD = timedelta(milliseconds=500)  # an attempt given up after this casts doubt on kept connections
 HOLD_WAIT = timedelta(seconds=1)
 SHORT_WAIT = timedelta(seconds=1)  # for the body of an answer that is no stream
 QUIET = timedelta(seconds=4.8)  # without an event: a client must not be left waiting for 5 s
@@ -144,14 +145,21 @@
         def over(status: Status, note: int = 0, load: dict[str, float] | None = None) -> ev.Ended:
             return ev.Ended(effect.id, effect.attempt, status, note, load or {})
 
-        call = exchange.call(effect)
+        call, begun = exchange.call(effect), self.loop.time()
         try:
             answer = await self.pool.request(
                 call.method, effect.endpoint.address, call.path, sent, headers=call.headers, data=call.body
             )
         except Spoilt as error:
             return over(self.spoilt(effect, error))
+        except asyncio.CancelledError:
+            if self.loop.time() - begun > UNHEARD.total_seconds():
+                self.pool.connector.drop_idle(effect.endpoint.address)
+            raise
         except (aiohttp.ClientError, OSError, TimeoutError):
+            # Guards against a machine that is cut off, which gives no sign: the next request on a connection
+            # kept from before would wait in silence again, while a new one fails as soon as a connect may.
+            self.pool.connector.drop_idle(effect.endpoint.address)
             # Guards a booking: a break counts as never run only while no byte of it can have gone.
             return over(Status.RESET if sent.is_set() else Status.CONNECT_FAILED)
         whole = False
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -189,3 +189,16 @@
 
 def test_spans_cross_the_border_and_timers_never_fire_early():
     assert to_ns(to_span(1_500_000)) == 1_500_000 and to_span(1) == timedelta(microseconds=1)
+
+
+def test_endpoints_that_are_gone_leave_nothing_behind():
+    core = Core()
+    for number in range(50):
+        core.do(ev.Listed((endpoint(f"new{number}", "writer"),), False))
+        core.do(ev.Listed((endpoint(f"new{number}", "writer", State.GONE),), False))
+    core.do(ev.Listed((), False))
+    assert len(core.state.numbers) == len(core.state.fleet) == len(core.state.router.servers) == 3
+    before = core.state.number("r")
+    core.do(ev.Listed((endpoint("r", "reader", State.GONE),), False))
+    core.do(ev.Listed((endpoint("r", "reader"),), False))
+    assert core.state.number("r") == before
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -4,6 +4,7 @@
 import json
 import socket
 from datetime import timedelta
+from types import SimpleNamespace
 
 from standins import SETTINGS, Server, entry, message, within
 
@@ -15,6 +16,7 @@
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
 from hoplane.net.server import Server as Door
+from hoplane.net.wire import Call
 
 
 async def let_go(call, writer):
@@ -82,6 +84,33 @@
     asyncio.run(test())
 
 
+def test_silence_casts_doubt_on_the_connections_kept_from_before():
+    async def mute(call, writer):
+        if call[0].startswith("POST"):
+            await asyncio.Event().wait()
+        await let_go(call, writer)
+
+    async def test():
+        async with Server(mute) as reader, Server(let_go) as writer:
+            runtime = start(reader, writer)
+            pool, second = runtime.pool, timedelta(seconds=5)
+            for server in (reader, writer):
+                calls = (pool.call("DELETE", server.address, "/v1/holds/a", second) for _ in range(3))
+                assert await asyncio.gather(*calls) == [204] * 3
+            call = Call("POST", "/v1/chat/completions", {}, b"{}")
+            told = asyncio.Event()
+            runtime.exchanges["q"] = SimpleNamespace(
+                call=lambda forward: call, refuse=lambda pause: told.set(), fail=lambda clash: told.set()
+            )
+            runtime.feed(Asked("q", "lookup", 100, 20, timedelta(seconds=0.8), session="s"))
+            await within(told.wait())
+            assert pool.connector.drop_idle(reader.address) == 0, "none is left to wait on in vain"
+            assert pool.connector.drop_idle(writer.address) == 3
+            await within(runtime.rest())
+            await pool.close()
+    asyncio.run(test())
+
+
 def test_discovery_applies_lists_and_changes_and_asks_anew_after_a_step_back():
     told = []
     watch = Discovery(None, "", read_list, told.append)
