Hold endpoints for well when a kept connection or a lone quick failure broke; keep none then

Tested and excluded: that what had been idle for long is at fault.

Now a break of a kept connection with no byte of an answer is told as such and says nothing of the endpoint; after two within 5 s none is kept for 10 s, doubled while it goes on (aio.py). A lone failure that came within 100 ms counts as one of two in a row.

Also: spoilt answers are now tested on the v2 front.

--- a/hoplane/decision/interface.py
+++ b/hoplane/decision/interface.py
@@ -200,9 +200,14 @@
     elapsed: int
 
 
+KEPT = 1
+
+
 @dataclass(slots=True, frozen=True)
 class Outcome:
-    """How an attempt ended. `note`: with OK and MISS tokens found kept, with FULL 1 for no state to fetch."""
+    """How an attempt ended. `note`: with OK and MISS tokens found kept, with FULL 1 for no state to fetch.
+
+    With RESET or CONNECT_FAILED, KEPT tells of a connection from before that was perhaps closed as idle."""
 
     request: str
     attempt: int
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -41,7 +41,7 @@
 SLOW = 4.0  # multiple of the usual first step that makes a writer slow
 SILENT = 6.0  # multiple of the mean time of a stage, with no sign of life, that makes a server silent
 SILENT_MIN = {True: 0.5, False: 1.5}  # and at least this multiple of the shortest aim, for reads and writes
-ERRORS = 2  # answers in a row that failed, after which a server is held to be down
+ERRORS, BRIEF = 2, 100 * MS  # failures in a row that make a server down; one that took longer does alone
 ASIDE, ASIDE_MOST = SECOND, 8 * SECOND  # a dead or silent server stays aside, doubled up to the most
 COLD_PART = 0.4  # of what a cold server must stand, over all routers
 SWEEP = 50 * MS  # how often servers are looked over and waiting requests tried again
@@ -171,12 +171,8 @@
         job.ended = job.ended or event.closed
         if status in (Status.OK, Status.MISS):
             self.alive(server)
-        elif status in (Status.CONNECT_FAILED, Status.RESET):
-            self.note(Symptom.DOWN, server)
-        elif status is Status.ERROR:  # guards against one that fails at once, and so seems least busy
-            server.errors += 1
-            if server.errors >= ERRORS:
-                self.note(Symptom.DOWN, server)
+        elif status in (Status.CONNECT_FAILED, Status.RESET, Status.ERROR):
+            self.failed(server, event)
         elif status in (Status.CANCELLED, Status.TIMEOUT) and attempt.reads:  # it waited longer still
             self.waited(server, event.elapsed, attempt.unread)
         elif status is Status.FULL and event.note != 1:
@@ -192,6 +188,17 @@
             self.release(job)
         return job
 
+    def failed(self, server: Server, event: api.Outcome) -> None:
+        """Hold a server to be down when it fails twice in a row, or breaks after a wait that hurts.
+
+        Guards against one that fails at once, and so seems least busy, and against giving up well servers for
+        a lone reset. A connection kept from before tells nothing: it may have been closed as idle."""
+        if event.status is not Status.ERROR and event.note == api.KEPT:
+            return
+        server.errors += 1
+        if server.errors >= ERRORS or (event.status is not Status.ERROR and event.elapsed > BRIEF):
+            self.note(Symptom.DOWN, server)
+
     def learn_read(self, job: Job, server: Server, event: api.Outcome) -> None:
         """Record a finished read: where the state waits, the reader's speed and its wait."""
         job.state_at, job.state_since, job.reader = server, self.now, server
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -7,7 +7,7 @@
 import asyncio
 import functools
 import socket
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from contextlib import suppress
 from datetime import timedelta
@@ -24,6 +24,8 @@
 INTERIM_MOST = 16  # 1xx answers ahead of one
 SILENT = timedelta(seconds=2.2)  # a client connection with no whole head on it: owed a close within 3 s
 LINGER = timedelta(seconds=5)  # for a client to take an error and to end what it is sending
+BREAKS, BREAKS_WITHIN = 2, 5.0  # kept connections that broke when used again, within so many seconds
+KEEP_AGAIN, KEEP_AGAIN_MOST = 10.0, 80.0  # seconds in which none is kept then
 FRESH = timedelta(seconds=0.3)  # a new connection so young may be a usual client's whose head is on its way
 
 
@@ -31,6 +33,15 @@
     """An answer that cannot be read; its request may have run, and its connection is of no further use."""
 
 
+BROKEN = (ConnectionError, aiohttp.ClientOSError, aiohttp.ServerDisconnectedError)
+
+
+class Stale(aiohttp.ClientOSError):
+    """A connection kept from before broke under the next request, with nothing of an answer.
+
+    Its endpoint may be well, as one closes what is idle; the request may have run."""
+
+
 class Peer(ResponseHandler):
     """A connection to an endpoint. What does not belong to the answer awaited ends it.
 
@@ -38,10 +49,12 @@
     cannot be read (its error never reaches the reader of the body), and bytes behind an answer, which the
     next request on the connection would take for its own."""
 
-    __slots__ = ("answer", "ahead", "early", "slow")
+    __slots__ = ("answer", "ahead", "early", "slow", "last", "idle", "broke")
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, broke: Callable[[float], None]) -> None:
         super().__init__(loop)
+        self.broke = broke  # told of the idle time of a connection that broke when it was used again
+        self.last = self.idle = 0.0  # when bytes came last, and how long ago that was at the request's start
         self.answer: aiohttp.StreamReader | None = None  # the body of the answer awaited, once its head is in
         self.ahead = self.early = 0
         self.slow: asyncio.TimerHandle | None = None
@@ -49,13 +62,14 @@
     def set_response_params(self, **params: object) -> None:
         """Begin to await an answer; nothing may have come before it was asked for."""
         self.answer, self.ahead, self.early, self._payload = None, 0, 0, None
+        self.idle = self._loop.time() - self.last if self.last else 0.0
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
         if data and (self._parser is None or (self.answer is not None and self.answer.is_eof())):
             self.spoil("bytes that no request asked for")
             return
-        heads = self.ahead
+        heads, self.last = self.ahead, self._loop.time()
         super().data_received(data)
         if self.answer is not None:
             return
@@ -85,6 +99,9 @@
         self.settle()
         if isinstance(exc, aiohttp.http_exceptions.HttpProcessingError):
             exc = Spoilt(f"an answer that cannot be read: {exc.message}")
+        elif self.idle and not self.early and isinstance(exc, BROKEN):
+            self.broke(self.idle)
+            exc, self.idle = Stale(f"idle for {self.idle:.3f} s"), 0.0
         super().set_exception(exc, *cause)
         if self.answer is not None and not self.answer.is_eof() and self.answer.exception() is None:
             told = exc if isinstance(exc, aiohttp.ClientError) else aiohttp.ClientConnectionError(repr(exc))
@@ -111,7 +128,33 @@
 
     def __init__(self, **settings: object) -> None:
         super().__init__(**settings)
-        self._factory = functools.partial(Peer, loop=self._loop)
+        self._factory = functools.partial(Peer, loop=self._loop, broke=self.broke)
+        self.usual = self._keepalive_timeout
+        self.broken: deque[float] = deque(maxlen=BREAKS)  # when kept connections broke of late
+        self.again, self.pause = 0.0, KEEP_AGAIN  # when they are kept again, and the pause till then
+
+    def broke(self, idle: float) -> None:
+        """Keep no connection for a while once several that were kept have broken in a row.
+
+        Guards against endpoints, or what lies before them, that reset what they have kept, however short it
+        was idle: a booking written to such a connection may have run, and fails. Longer each time."""
+        now = self._loop.time()
+        self.broken.append(now)
+        if len(self.broken) < BREAKS or now - self.broken[0] > BREAKS_WITHIN or not self.keeping:
+            return
+        self.pause = min(2 * self.pause, KEEP_AGAIN_MOST) if now - self.again < self.pause else KEEP_AGAIN
+        self.again, self._keepalive_timeout = now + self.pause, 0.0
+        log.say("connections_stale", idle_ms=round(idle * 1000), none_kept_for_s=self.pause)
+
+    @property
+    def keeping(self) -> bool:
+        """Tell whether connections are kept at present."""
+        return self._keepalive_timeout > 0
+
+    async def _get(self, key, traces):
+        if not self.keeping and self._loop.time() > self.again:
+            self._keepalive_timeout = self.usual
+        return await super()._get(key, traces)
 
     def drop_idle(self, address: str | None = None) -> int:
         """Close the idle connections, to one endpoint or to all; gives how many there were."""
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -15,9 +15,9 @@
 from hoplane.core import events as ev
 from hoplane.core.ledger import Ledger
 from hoplane.core.reducer import Conductor, reduce
-from hoplane.decision.interface import Status
+from hoplane.decision.interface import KEPT, Status
 from hoplane.decision.rules import Router
-from hoplane.net.aio import Spoilt
+from hoplane.net.aio import Spoilt, Stale
 from hoplane.net.clock import Clock
 from hoplane.net.pool import Pool
 from hoplane.net.server import Bodies
@@ -156,6 +156,8 @@
             if self.loop.time() - begun > UNHEARD.total_seconds():
                 self.pool.connector.drop_idle(effect.endpoint.address)
             raise
+        except Stale:
+            return over(Status.RESET if sent.is_set() else Status.CONNECT_FAILED, KEPT)
         except (aiohttp.ClientError, OSError, TimeoutError):
             # Guards against a machine that is cut off, which gives no sign: the next request on a connection
             # kept from before would wait in silence again, while a new one fails as soon as a connect may.
--- a/tests/test_bad_peers.py
+++ b/tests/test_bad_peers.py
@@ -5,7 +5,7 @@
 
 import pytest
 from standins import EVENT, STREAM, USAGE, Server, chat, chunk, entry, message, read_message
-from test_kserve import ANSWER, infer, sidecar, status
+from test_kserve import ANSWER, assignment, infer, sidecar, status
 from test_platform import desk, hang, never_read, run, write_it
 
 HEAD, _, BODY = chat().partition(b"\r\n\r\n")
@@ -266,6 +266,29 @@
     run(test())
 
 
+def test_spoilt_answers_on_the_v2_front_may_have_run(tmp_path):
+    async def one(folder, name, data):
+        async def play(call, writer):
+            writer.write(data)
+            await hang(call, writer)
+
+        folder.mkdir()
+        async with Server(play) as bad, Server(answer_v2) as good, sidecar(folder, bad) as program:
+            assert await status(program, infer(time_left_ms=2000)) == 502, name
+            assert await status(program, infer(time_left_ms=2000)) == 409, name
+            assert len(bad.calls) == 1 and await bad.closed.get()
+            program.endpoints.write_text(assignment((bad.address, "HEALTHY"), (good.address, "HEALTHY")))
+            await program.line("endpoints")
+            for number in range(4):
+                assert await status(program, infer(id=f"l{number}", cls="lookup")) == 200
+            assert not await program.faults()
+
+    async def test():
+        tasks = (one(tmp_path / str(at), *each) for at, each in enumerate(SPOILT.items()))
+        await asyncio.gather(*tasks)
+    run(test())
+
+
 def test_a_reader_whose_answer_cannot_be_read_is_not_the_end(tmp_path):
     async def test():
         async with desk(tmp_path, read=never_read) as program:
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -9,7 +9,8 @@
 from standins import SETTINGS, Server, entry, message, within
 
 from hoplane.config import platform
-from hoplane.core.events import Asked, Left
+from hoplane.core.events import Asked, Ended, Left
+from hoplane.decision.interface import KEPT, Status
 from hoplane.fronts.kserve import problem
 from hoplane.fronts.platform import hold_path, read_list
 from hoplane.net.discovery import Discovery
@@ -111,6 +112,39 @@
     asyncio.run(test())
 
 
+def test_kept_connections_that_break_are_told_as_such_and_then_none_is_kept():
+    broken = asyncio.Event()
+
+    async def drops(call, writer):
+        if broken.is_set():
+            writer.transport.abort()
+        else:
+            await let_go(call, writer)
+
+    async def test():
+        async with Server(drops) as reader, Server(let_go) as writer:
+            runtime = start(reader, writer)
+            pool, ended = runtime.pool, []
+            reduced, runtime.feed = runtime.feed, lambda event: (ended.append(event), reduced(event))
+            calls = (pool.call("DELETE", reader.address, "/v1/holds/a", timedelta(seconds=5)) for _ in "ab")
+            assert await asyncio.gather(*calls) == [204, 204] and pool.connector.keeping
+            broken.set()
+            assert await pool.call("DELETE", reader.address, "/v1/holds/b", timedelta(seconds=5)) is None
+            assert pool.connector.keeping, "one alone may have been closed as idle"
+            call, told = Call("POST", "/v1/chat/completions", {}, b"{}"), asyncio.Event()
+            runtime.exchanges["q"] = SimpleNamespace(
+                call=lambda forward: call, refuse=lambda pause: told.set(), fail=lambda clash: told.set()
+            )
+            runtime.feed(Asked("q", "lookup", 100, 20, timedelta(seconds=3), session="s"))
+            await within(told.wait())
+            await within(runtime.rest())
+            ends = [(each.status, each.note) for each in ended if isinstance(each, Ended)]
+            assert ends[0] == (Status.RESET, KEPT) and (Status.RESET, 0) in ends, "the next were new ones"
+            assert not pool.connector.keeping
+            await pool.close()
+    asyncio.run(test())
+
+
 def test_discovery_applies_lists_and_changes_and_asks_anew_after_a_step_back():
     told = []
     watch = Discovery(None, "", read_list, told.append)
