Take a request that later ones have passed as lost: its wait is no other request's

A probe of each refusal showed the delays that the module held: 2 to 9 s at three to five of seven writers, all of them busy and answering. At each a single booking had gone unanswered; it may not be repeated, waits till its time is up, and Server.delay took the age of the oldest request for the wait of the next (rules.py, delay and late). The median of those waits turned all others away.

Excluded: places asked for in vain (crowding 0.04 when it began), full servers (none), refusals of the fronts (all were the module's), reads (delays of 0.1 to 0.4 s).

Now what was sent 0.5 s before one that was answered counts as passed: it is no measure of the wait, and where it may run again it is given up alone, its server kept.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -41,6 +41,7 @@
 SLOW = 4.0  # multiple of the usual first step that makes a writer slow
 SILENT = 6.0  # multiple of the mean time of a stage, with no sign of life, that makes a server silent
 SILENT_MIN = {True: 0.5, False: 1.5}  # and at least this multiple of the shortest aim, for reads and writes
+PASSED = 500 * MS  # what was sent so much before another that was answered is lost rather than in a queue
 ERRORS, BRIEF = 2, 100 * MS  # failures in a row that make a server down; one that took longer does alone
 ASIDE, ASIDE_MOST = SECOND, 8 * SECOND  # a dead or silent server stays aside, doubled up to the most
 COLD_PART = 0.4  # of what a cold server must stand, over all routers
@@ -132,7 +133,7 @@
             return
         job, server = attempt.job, attempt.server
         attempt.began, job.first_at, job.state_at = True, self.now, None
-        self.alive(server)
+        self.alive(attempt)
         self.waited(server, self.now - attempt.sent, attempt.unread)
         self.stage[False].add(self.now - attempt.sent, BLEND)
         if self.settings.peers and server is job.place and job.near.entry.cell == server.entry.cell:
@@ -170,10 +171,11 @@
         attempt.failed = status in (*RISKY, Status.CONNECT_FAILED)
         job.ended = job.ended or event.closed
         if status in (Status.OK, Status.MISS):
-            self.alive(server)
+            self.alive(attempt)
         elif status in (Status.CONNECT_FAILED, Status.RESET, Status.ERROR):
             self.failed(server, event)
-        elif status in (Status.CANCELLED, Status.TIMEOUT) and attempt.reads:  # it waited longer still
+        elif status in (Status.CANCELLED, Status.TIMEOUT) and attempt.reads and not attempt.passed:
+            # It waited longer still.
             self.waited(server, event.elapsed, attempt.unread)
         elif status is Status.FULL and event.note != 1:
             self.note(Symptom.FULL, server, job.pair)
@@ -230,7 +232,9 @@
     def after(self, span: int, callback: Callable[[], Job | None]) -> None:
         self.actions.append(api.SetTimer(self.now + span, self.timers.add(callback)))
 
-    def alive(self, server: Server) -> None:
+    def alive(self, attempt: Attempt) -> None:
+        server = attempt.server
+        server.passed = max(server.passed, attempt.sent - PASSED)
         server.heard, server.strikes, server.aside_until, server.errors = self.now, 0, 0, 0
 
     def waited(self, server: Server, took: int, unread: int) -> None:
@@ -286,16 +290,18 @@
 
         Guards against servers that hang or are cut off before the list tells. A long jam looks alike: so the
         stage's mean learns from what is given up, and what may not be repeated is left to wait."""
-        shortest = min(cls.aim for cls in self.settings.classes)
         waiting = [job for job in self.jobs.values() if not job.settled]
         for server in dict.fromkeys(attempt.server for job in waiting for attempt in job.out):
             if oldest := server.oldest:
-                usual, least = self.stage[oldest.reads].value or 0, SILENT_MIN[oldest.reads] * shortest
-                limit = max(SILENT * usual, least) + self.reading_time(oldest.unread)
-                silent = self.now - max(oldest.sent, server.heard) > limit
+                silent = self.now - max(oldest.sent, server.heard) > self.patience(oldest)
                 if silent and self.strike(server, sure=False):
                     self.stage[oldest.reads].add(self.now - oldest.sent, BLEND)
                     self.cancel(a for a in server.out.values() if a.reads or a.job.cls.effect is Effect.SAFE)
+        for attempt in [a for job in waiting for a in job.out if a.passed and not a.failed]:
+            repeatable = attempt.reads or attempt.job.cls.effect is Effect.SAFE
+            if repeatable and self.now - attempt.sent > self.patience(attempt):
+                attempt.failed = True
+                self.cancel([attempt])
         for table in (self.rows, self.drawn):
             drop_before(table, self.now - IDLE)
         for job in waiting:
@@ -304,6 +310,13 @@
         if self.sweeping:
             self.after(SWEEP, self.sweep)
 
+    def patience(self, attempt: Attempt) -> float:
+        """Give how long an attempt may go without a sign of life before it is held to be lost.
+
+        Guards against servers that answer all but some requests, which then wait till their time is up."""
+        least = SILENT_MIN[attempt.reads] * min(cls.aim for cls in self.settings.classes)
+        return max(SILENT * (self.stage[attempt.reads].value or 0), least) + self.reading_time(attempt.unread)
+
     def usable(self, roles: tuple[Role, ...], pair: tuple[str | None, str] = (None, "")) -> list[Server]:
         """Give the servers that may have new work; one that has failed gets a single request on trial.
 
--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -78,6 +78,7 @@
     streams: int = 0
     lag: int = 0  # how long its last read or first token had to wait
     lag_at: int = 0
+    passed: int = 0  # what was sent before this, others have passed: later ones of ours were answered
     heard: int = 0  # when it last showed a sign of life
     strikes: int = 0  # failures in a row
     errors: int = 0  # answers in a row that were errors, or could not be read
@@ -103,9 +104,9 @@
 
     @property
     def oldest(self) -> Attempt | None:
-        """Give our attempt that has waited longest there."""
+        """Give our attempt that has waited longest there and that no later one has passed."""
         for attempt in self.out.values():
-            if not attempt.began:
+            if not attempt.began and not attempt.passed:
                 return attempt
         return None
 
@@ -131,6 +132,11 @@
     risky: bool = False  # it may have run
     failed: bool = False  # it served nothing: another server comes first for the next
 
+    @property
+    def passed(self) -> bool:
+        """Tell whether one of ours that was sent there later has been answered: this one may be lost."""
+        return self.sent < self.server.passed
+
     def take(self) -> None:
         """Book it as out."""
         self.job.attempts.append(self)
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -95,6 +95,33 @@
     assert desk.sent() and desk.sent() != [reader]
 
 
+def stuck(effect):
+    """Give a desk at whose writer one request is lost, while one that came later is answered."""
+    fleet = entry(READER_A, "reader"), entry(WRITER_A, "writer")
+    desk = Desk(fleet=fleet, effect=effect, writers_read=False)
+    for request, after in (("lost", 0), ("later", 600 * MS)):
+        desk.ask(request, after=after, patience=60 * S)
+        desk.outcome(Status.MISS, READER_A, request)
+        assert desk.sent() == [WRITER_A]
+    desk.first(WRITER_A, "later")
+    return desk
+
+
+def test_a_request_lost_at_a_writer_makes_no_others_late():
+    desk = stuck(api.Effect.UNSAFE)
+    desk.run_timers(desk.now + 3 * S)
+    assert desk.of(api.Cancel) == [], "what may have run is left to wait"
+    desk.ask("next", session="n")
+    assert desk.ends() == [] and desk.sent() == [READER_A]
+
+
+def test_a_lost_request_that_may_run_again_is_given_up_and_its_server_kept():
+    desk = stuck(api.Effect.SAFE)
+    desk.run_timers(desk.now + S)
+    assert desk.of(api.Cancel) == [api.Cancel("lost", 1)]
+    assert desk.router.servers[WRITER_A] in desk.router.usable((api.Role.WRITE,))
+
+
 def test_an_unsafe_request_at_a_silent_writer_is_left_to_wait():
     desk = Desk(effect=api.Effect.UNSAFE)
     desk.ask()
