Count as broken no kept connection that we close, or that closes while idle

Cause, both in aio.py, Peer.set_exception: aiohttp tells a connection that we close ourselves as one that broke (two of three logs: attempts given up), and one whose head came in one piece still looked unanswered when it was closed while idle.

Now a break counts only while an answer is awaited, and not after our own close.

--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -99,7 +99,7 @@
         self.settle()
         if isinstance(exc, aiohttp.http_exceptions.HttpProcessingError):
             exc = Spoilt(f"an answer that cannot be read: {exc.message}")
-        elif self.idle and not self.early and isinstance(exc, BROKEN):
+        elif self.idle and self.answer is None and not self.early and isinstance(exc, BROKEN):
             self.broke(self.idle)
             exc, self.idle = Stale(f"idle for {self.idle:.3f} s"), 0.0
         super().set_exception(exc, *cause)
@@ -113,6 +113,11 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def close(self) -> None:
+        """Close it ourselves, which is no break; aiohttp tells it as one all the same."""
+        self.idle = 0.0
+        super().close()
+
     def settle(self) -> None:
         if self.slow is not None:
             self.slow.cancel()
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -145,6 +145,37 @@
     asyncio.run(test())
 
 
+def test_what_we_close_or_what_closes_while_idle_is_no_break():
+    mute = asyncio.Event()
+
+    async def answers(call, writer):
+        if mute.is_set():
+            await asyncio.Event().wait()
+        await let_go(call, writer)
+        if call[0].startswith("GET"):
+            writer.close()  # right behind the answer, as what is idle is closed
+
+    async def test():
+        async with Server(answers) as reader, Server(let_go) as writer:
+            pool, second = start(reader, writer).pool, timedelta(seconds=5)
+
+            async def calls(method, within_s=second):
+                asked = (pool.call(method, reader.address, "/v1/holds/a", within_s) for _ in range(4))
+                return await asyncio.gather(*asked)
+
+            assert await calls("DELETE") == [204] * 4
+            assert await calls("GET") == [204] * 4, "on the connections kept from before"
+            while await calls("DELETE") != [204] * 4:  # some may meet a close on its way
+                pass
+            kept = pool.connector.broken.copy()
+            mute.set()
+            assert await calls("DELETE", timedelta(milliseconds=50)) == [None] * 4
+            await within(reader.closed.get())
+            assert pool.connector.broken == kept
+            await pool.close()
+    asyncio.run(test())
+
+
 def test_discovery_applies_lists_and_changes_and_asks_anew_after_a_step_back():
     told = []
     watch = Discovery(None, "", read_list, told.append)
