Judge lateness by a request's own reader, and see at one read that a reader forgot its texts

A line a request showed jams of readers (reads of 1.3 to 3 s) while writers answered in 20 to 60 ms, and that in a jam all lookups were refused three times within 0.6 s although some readers were free.

Lines at fault: rules.py, late, took the median of the waits of all readers met of late; and unread, which believed for each text by itself that it was kept, long after a flush. Excluded: writers (first tokens in 20 to 60 ms), the loop's lag, endpoints cut off (few).

Now late() takes the end of the read at the reader that the request would go to, and a read that found less than half of what we thought kept empties what we think of that reader, also for what waits there.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -180,7 +180,7 @@
         elif status is Status.FULL and event.note != 1:
             self.note(Symptom.FULL, server, job.pair)
         if status is Status.MISS:
-            self.learn_read(job, server, event)
+            self.learn_read(attempt, event)
         elif status is Status.OK and job.first_at is not None:
             self.learn_answer(job, server, event)
         elif status is Status.FULL and event.note == 1:
@@ -201,8 +201,13 @@
         if server.errors >= ERRORS or (event.status is not Status.ERROR and event.elapsed > BRIEF):
             self.note(Symptom.DOWN, server)
 
-    def learn_read(self, job: Job, server: Server, event: api.Outcome) -> None:
-        """Record a finished read: where the state waits, the reader's speed and its wait."""
+    def learn_read(self, attempt: Attempt, event: api.Outcome) -> None:
+        """Record a finished read: where the state waits, the reader's speed and its wait.
+
+        One that kept little of what it had read has lost the rest too: what waits there is read whole."""
+        job, server = attempt.job, attempt.server
+        if 2 * event.note < job.request.prompt - attempt.unread:
+            server.forget(self.now)
         job.state_at, job.state_since, job.reader = server, self.now, server
         self.stage[True].add(event.elapsed, BLEND)
         unread = max(0, job.request.prompt - event.note)
@@ -430,7 +435,10 @@
         Repeats too, as nobody tells how old they are. Clients are told to stay away while the wait lasts."""
         parts = [[job.local]] if job.local else [self.usable((role,)) for role in (Role.READ, Role.WRITE)]
         met = ([self.delay(s) for s in part if s.oldest or self.now < s.lag_at + RATE_SPAN] for part in parts)
-        wait = sum(median(waits) for waits in met if waits) + self.crowding() ** HOLDS * job.aim
+        waits = [median(each) if each else 0 for each in met]
+        if not job.local and (readers := self.readers(job)):
+            waits[0] = self.read_end(job, readers[0])
+        wait = sum(waits) + self.crowding() ** HOLDS * job.aim
         tenant = job.request.tenant or ""
         asked = self.asked[tenant].count * self.settings.routers / (RATE_SPAN / SECOND)
         limit = OVER_LATE if asked > (self.quotas.get(tenant) or asked) else LATE
@@ -475,6 +483,11 @@
         fading = server.lag > 0 and 1 - (self.now - server.lag_at) / (server.lag + self.interval(server) / 3)
         return max(0, waits, round(server.lag * fading))
 
+    def read_end(self, job: Job, server: Server) -> int:
+        """Guess how long a read would take at a server, with what waits there."""
+        ahead = max(self.delay(server), self.reading_time(server.waiting))
+        return ahead + self.reading_time(self.unread(job, server))
+
     def interval(self, server: Server) -> int:
         """Give the mean time between two of our sends to a server of this role."""
         rate = self.sends[server.role is Role.READ].add(self.now, 0)
@@ -486,7 +499,7 @@
     def unread(self, job: Job, server: Server) -> int:
         """Guess how much of a prompt a server has yet to read."""
         kept = job.request.prefix_len if (job.request.prefix or "") in server.prefixes else 0
-        if job.row is not None and job.row.reader == server.entry.server:
+        if job.row is not None and job.row.reader == server.entry.server and job.row.at >= server.read_since:
             kept = max(kept, job.row.read)
         return max(0, job.request.prompt - kept)
 
--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -87,17 +87,26 @@
     full: dict[tuple[str | None, str], int] = field(default_factory=dict)  # until when, by tenant and class
     next_cold: int | None = None  # when it may have its next send while cold
     kept_since: int = 0  # what it kept before this is gone
+    read_since: int = 0  # and what it read before this
     prefixes: dict[str, Rate] = field(default_factory=dict)  # what it read of shared beginnings
 
     def renew(self, entry: Entry, role: Role, now: int) -> None:
         """Take a line of the list in; a restarted server is cold and keeps nothing."""
         if entry.born > self.entry.born:
-            self.next_cold, self.kept_since = None, now
+            self.next_cold, self.kept_since, self.read_since = None, now, now
             self.strikes = self.aside_until = self.slow_until = self.lag = 0
             self.prefixes.clear()
             self.full.clear()
         self.entry, self.role = entry, role
 
+    def forget(self, now: int) -> None:
+        """Take all that it read as lost; what is out there has to be read whole."""
+        self.read_since = now
+        self.prefixes.clear()
+        for attempt in self.out.values():
+            if attempt.reads:
+                attempt.unread = attempt.job.request.prompt
+
     def opens(self, pair: tuple[str | None, str]) -> int:
         """Give the time from which it is set aside no more, nor full for a tenant and class."""
         return max(self.aside_until, self.full.get(pair, 0))
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -517,3 +517,36 @@
     other.do(api.PeerMessage(0, one.of(api.Tell)[0].data))
     other.ask()
     assert other.sent() == [READER_A + READER_B - reader]
+
+
+def test_a_request_is_late_by_its_own_readers_end_and_not_by_the_wait_at_others():
+    desk = Desk(fleet=MANY_READERS, writers_read=False)
+    free = home(desk)
+    desk.outcome(Status.MISS, free, "probe")
+    desk.leave("probe")
+    desk.router.speed = 10_000.0
+    for reader in (s for s in desk.router.live((api.Role.READ,)) if s.entry.server != free):
+        reader.lag, reader.lag_at = 3 * S, desk.now
+    desk.ask("r1", session="p")
+    assert desk.sent() == [free], "the others' waits are none of its own"
+    desk.router.servers[free].out["r1", 0].unread = 30_000
+    desk.ask("r2", session="p")
+    assert desk.sent() == [] and desk.ends() == [api.Refuse], "three seconds' tokens wait at each reader now"
+
+
+def test_a_reader_that_lost_one_text_is_taken_to_have_lost_all():
+    desk = Desk(fleet=(entry(READER_A, "reader"), *FLEET[2:]))
+    reader = desk.router.servers[READER_A]
+    for prefix in ("a", "b"):
+        desk.serve(prefix, prompt=5000, prefix=prefix, prefix_len=4000)
+    desk.ask("kept", session="n1", prompt=5000, prefix="a", prefix_len=4000)
+    desk.ask("next", session="n2", prompt=5000, prefix="b", prefix_len=4000)
+    assert reader.waiting == 2000
+    desk.outcome(Status.MISS, READER_A, "kept", note=4000)
+    assert reader.waiting == 1000, "what was kept as thought tells of no loss"
+    desk.ask("lost", session="n3", prompt=5000, prefix="a", prefix_len=4000)
+    desk.outcome(Status.MISS, READER_A, "lost", note=0)
+    assert reader.waiting == 5000 and list(reader.prefixes) == ["a"], "only what was read anew is there"
+    desk.outcome(Status.MISS, READER_A, "next", note=0)
+    desk.ask("turn", session="b", prompt=6000)
+    assert desk.router.unread(desk.router.jobs["turn"], reader) == 6000, "and of earlier turns"
