Probe silent endpoints before they are left, and turn requests away sooner in a lasting jam

(4) At the start one short read of 20 ms set the speed to 2400 tokens a second, and all long prompts of the first second were refused.

Now (rules.py) a server silent for a quarter of an aim is probed where the settings allow it: no answer sets it aside at once and cancels what may run again, an answer gives it 1.5 aims; before its return it is probed again. The limit falls from 0.9 to 0.4 of the aim as the mean wait of new requests rises to half an aim. A read that others have passed by 0.2 s has half an aim and the time of all reads before it. The first speed needs a read of 1000 tokens.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -37,7 +37,7 @@
     def on_platform(self) -> tuple[platform.Platform, Discovery]:
         """Put the platform's front and its discovery together."""
         config = self.config
-        runtime = Runtime(config, self.pool, platform.hold_path)
+        runtime = Runtime(config, self.pool, platform.LIVE, platform.hold_path)
         watch = Discovery(self.pool, "{}:{}".format(*config.discovery), platform.read_list, runtime.feed)
         if config.known.get("endpoints"):
             try:
--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -80,6 +80,16 @@
     held: bool | None
 
 
+@dataclass(slots=True, frozen=True)
+class Probed:
+    """What came of a probe of an endpoint."""
+
+    server: int
+    status: Status
+    took: timedelta
+    load: dict[str, float] = field(default_factory=dict)
+
+
 @dataclass(slots=True, frozen=True)
 class Due:
     """A timer asked for with Wake has come."""
@@ -95,7 +105,7 @@
     whole: bool
 
 
-Event = Asked | Left | Began | Ended | HoldAnswered | Due | Listed
+Event = Asked | Left | Began | Ended | HoldAnswered | Probed | Due | Listed
 
 
 # --- effects
@@ -129,6 +139,14 @@
     endpoint: Endpoint
 
 
+@dataclass(slots=True, frozen=True)
+class Probe:
+    """Ask an endpoint for a sign of life."""
+
+    server: int
+    endpoint: Endpoint
+
+
 @dataclass(slots=True, frozen=True)
 class LetGo:
     """Release what is held for a request; any endpoint takes the call, the likeliest come first."""
@@ -173,4 +191,4 @@
     facts: dict[str, object]
 
 
-Effect = Forward | Abandon | AskHold | LetGo | Refuse | Fail | Wake | Say
+Effect = Forward | Abandon | AskHold | Probe | LetGo | Refuse | Fail | Wake | Say
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -174,6 +174,12 @@
     yield from sweep_up(state, now, event.id)
 
 
+def on_probed(state: Conductor, now: timedelta, event: ev.Probed) -> Iterator[ev.Effect]:
+    """Tell the module whether an endpoint has shown a sign of life."""
+    if event.server in state.fleet:
+        yield from decide(state, now, api.Probed(event.server, event.status, to_ns(event.took), event.load))
+
+
 def on_due(state: Conductor, now: timedelta, event: ev.Due) -> Iterator[ev.Effect]:
     """Fire the module's timer, or one of ours: an attempt's time-out or the client's deadline."""
     if isinstance(event.timer, int):
@@ -218,7 +224,7 @@
 
 HANDLERS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
     ev.Asked: on_asked, ev.Left: on_left, ev.Began: on_began, ev.Ended: on_ended,
-    ev.HoldAnswered: on_hold_answered, ev.Due: on_due, ev.Listed: on_listed,
+    ev.HoldAnswered: on_hold_answered, ev.Probed: on_probed, ev.Due: on_due, ev.Listed: on_listed,
 }
 
 
@@ -258,6 +264,12 @@
     yield ev.AskHold(action.request, len(request.attempts) - 1, endpoint)
 
 
+def probe(state: Conductor, now: timedelta, action: api.Probe) -> Iterator[ev.Effect]:
+    """Ask an endpoint that is still listed for a sign of life."""
+    if endpoint := state.fleet.get(action.server):
+        yield ev.Probe(action.server, endpoint)
+
+
 def release(state: Conductor, now: timedelta, action: api.Release) -> Iterator[ev.Effect]:
     """Let go of what is held. A stream that has begun has let go of all by itself."""
     request = state.requests.get(action.request)
@@ -289,7 +301,8 @@
 
 
 ACTIONS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
-    api.Hold: hold, api.Release: release, api.Cancel: cancel, api.Refuse: refuse, api.Fail: fail,
+    api.Hold: hold, api.Probe: probe, api.Release: release, api.Cancel: cancel, api.Refuse: refuse,
+    api.Fail: fail,
     api.SetTimer: lambda state, now, action: [ev.Wake(to_span(action.at), action.timer)],
     api.Log: lambda state, now, action: [ev.Say("module", {"text": action.text})],
 }
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -32,18 +32,21 @@
 HOMES = 4.0  # readers of a prefix for each reader's part of all requests that it draws
 POINTS, PAIRED = 16, 0.5  # a reader's points on the ring, and their least share where few writers are near
 DRAWN_MIN = 10  # requests that are added to all when a prefix's part of them is worked out
-FORGET = 0.98  # what is left of the best read speed seen with each further read
+FORGET, TELLING = 0.98, 1000  # what is left of the best read speed with each read; tokens that the first has
 OTHER_CELL, OTHER_ZONE = 0.8, 1.2  # writer's memories that a move out of the cell weighs, out of the zone
 HOLDS = 4  # places asked for during a read
-LATE, OVER_LATE = 0.8, 0.4  # shares of the aim: the wait that turns away, and beyond a tenant's share
-CROWDED, AGAIN = 0.75, 0.5  # askings in vain past which no writer is idle; part of the limits for repeats
+LATE, JAMMED, OVER_LATE = 0.9, 0.4, 0.4  # shares of the aim, waits that turn away: usual, jammed, over share
+JAM, JAM_BLEND = 0.5, 0.03  # mean wait, in aims, that is a full jam; weight of a new request in that mean
+CROWDED, AGAIN = 0.75, 0.6  # askings in vain past which no writer is idle; part of the limits for repeats
 
 SLOW = 4.0  # multiple of the usual first step that makes a writer slow
 SILENT = 6.0  # multiple of the mean time of a stage, with no sign of life, that makes a server silent
 SILENT_MIN = {True: 0.5, False: 1.5}  # and at least this multiple of the shortest aim, for reads and writes
-PASSED = 500 * MS  # what was sent so much before another that was answered is lost rather than in a queue
+CHECK, SILENT_ALIVE = 0.25, 1.5  # multiples of that aim: silence to probe at, and of one that answers probes
+PASSED = 200 * MS  # what was sent so much before another that was answered is lost rather than in a queue
 ERRORS, BRIEF = 2, 100 * MS  # failures in a row that make a server down; one that took longer does alone
 ASIDE, ASIDE_MOST = SECOND, 8 * SECOND  # a dead or silent server stays aside, doubled up to the most
+BEFORE = 400 * MS  # its return it is probed
 COLD_PART = 0.4  # of what a cold server must stand, over all routers
 SWEEP = 50 * MS  # how often servers are looked over and waiting requests tried again
 RATE_SPAN = 5 * SECOND  # what came lately came in this; what was told counts for a half to all of it
@@ -71,6 +74,7 @@
         self.stage = {True: Mean(), False: Mean()}  # a read's time, and a write's to its first token
         self.sends = {True: Rate(RATE_SPAN), False: Rate(RATE_SPAN)}  # reads and writes sent
         self.prompts = Mean()
+        self.jam = Mean()  # what requests had to wait as they came, in aims
         self.streams = Mean()  # our streams a writer
         self.places = {held: Rate(RATE_SPAN) for held in (True, False)}  # what came of askings for a place
         self.speed = 0.0  # tokens a second that a reader reads at its best
@@ -79,7 +83,8 @@
         self.handlers: dict[type, Callable[..., Job | None]] = {
             api.Fleet: self.on_fleet, api.Request: self.on_request, api.FirstToken: self.on_first,
             api.Place: self.on_place, api.Outcome: self.on_outcome, api.Gone: self.on_gone,
-            api.PeerMessage: self.on_peer, api.Timer: lambda event: self.timers.fire(event.timer),
+            api.PeerMessage: self.on_peer, api.Probed: self.on_probed,
+            api.Timer: lambda event: self.timers.fire(event.timer),
         }
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -211,7 +216,8 @@
         job.state_at, job.state_since, job.reader = server, self.now, server
         self.stage[True].add(event.elapsed, BLEND)
         unread = max(0, job.request.prompt - event.note)
-        self.speed = max(unread * SECOND / max(1, event.elapsed), self.speed * FORGET)
+        if unread >= TELLING or self.speed:
+            self.speed = max(unread * SECOND / max(1, event.elapsed), self.speed * FORGET)
         self.waited(server, event.elapsed, unread)
         server.prefixes.pop(job.request.prefix or "", None)
         server.prefixes[job.request.prefix or ""] = Rate(IDLE, at=self.now)
@@ -278,16 +284,20 @@
         if server and word.pair < len(self.pairs):
             self.note(word.symptom, server, self.pairs[word.pair], told=True)
 
-    def strike(self, server: Server, sure: bool) -> bool:
+    def strike(self, server: Server, sure: bool, again: bool = False) -> bool:
         """Set a server aside, longer each time in a row; later a single request tries it again.
 
-        Guards against dead and hung servers. Silence may be mere load: it takes at most half of a role."""
+        Guards against dead and hung servers. Silence may be mere load: it takes at most half of a role. Just
+        before its return it is probed, lest a request be the one to find it still dead."""
         live = self.live((server.role,))
         well = [s for s in live if self.now >= s.aside_until and s is not server]
-        if self.now < server.aside_until or not (sure or 2 * len(well) >= len(live)):
+        if (self.now < server.aside_until and not again) or not (sure or 2 * len(well) >= len(live)):
             return False
         server.strikes += 1
-        server.aside_until = self.now + min(ASIDE << (server.strikes - 1), ASIDE_MOST)
+        span = min(ASIDE << (server.strikes - 1), ASIDE_MOST)
+        server.aside_until = self.now + span
+        if self.settings.probes:
+            self.after(span - BEFORE, lambda: self.probe(server))
         return True
 
     def sweep(self) -> None:
@@ -298,10 +308,12 @@
         waiting = [job for job in self.jobs.values() if not job.settled]
         for server in dict.fromkeys(attempt.server for job in waiting for attempt in job.out):
             if oldest := server.oldest:
-                silent = self.now - max(oldest.sent, server.heard) > self.patience(oldest)
-                if silent and self.strike(server, sure=False):
+                silent = self.now - max(oldest.sent, server.heard)
+                if silent > self.patience(oldest) and self.strike(server, sure=False):
                     self.stage[oldest.reads].add(self.now - oldest.sent, BLEND)
-                    self.cancel(a for a in server.out.values() if a.reads or a.job.cls.effect is Effect.SAFE)
+                    self.give_up(server)
+                elif silent > CHECK * min(cls.aim for cls in self.settings.classes):
+                    self.probe(server)
         for attempt in [a for job in waiting for a in job.out if a.passed and not a.failed]:
             repeatable = attempt.reads or attempt.job.cls.effect is Effect.SAFE
             if repeatable and self.now - attempt.sent > self.patience(attempt):
@@ -315,12 +327,46 @@
         if self.sweeping:
             self.after(SWEEP, self.sweep)
 
+    def give_up(self, server: Server) -> None:
+        """Cancel what is out at a server and may run again."""
+        self.cancel(a for a in server.out.values() if a.reads or a.job.cls.effect is Effect.SAFE)
+
+    def probe(self, server: Server) -> None:
+        """Ask a listed server for a sign of life, not again and again in one silence."""
+        between = CHECK * min(cls.aim for cls in self.settings.classes)
+        listed = server.entry.server in self.servers
+        if self.settings.probes and listed and self.now - server.probed > between:
+            server.probed = self.now
+            self.actions.append(api.Probe(server.entry.server))
+
+    def on_probed(self, event: api.Probed) -> None:
+        """Leave a server that shows no sign of life at once; one that does may be jammed, and is given time.
+
+        Guards against a jam that looks like a cut-off machine, and against requests that wait at one."""
+        if (server := self.servers.get(event.server)) is None:
+            return
+        if event.status in (Status.TIMEOUT, Status.CONNECT_FAILED):
+            if self.now < server.aside_until:
+                self.strike(server, sure=True, again=True)
+            else:
+                self.note(Symptom.DOWN, server)
+            self.give_up(server)
+        elif event.status is not Status.RESET:
+            server.answered = self.now
+
     def patience(self, attempt: Attempt) -> float:
         """Give how long an attempt may go without a sign of life before it is held to be lost.
 
-        Guards against servers that answer all but some requests, which then wait till their time is up."""
-        least = SILENT_MIN[attempt.reads] * min(cls.aim for cls in self.settings.classes)
-        return max(SILENT * (self.stage[attempt.reads].value or 0), least) + self.reading_time(attempt.unread)
+        Guards against servers that answer all but some requests, which then wait till their time is up. One
+        that others have passed has half an aim and the time that all of our reads before it may take."""
+        server, ahead = attempt.server, [attempt]
+        least = SILENT_ALIVE if server.answered > attempt.sent else SILENT_MIN[attempt.reads]
+        if attempt.passed:
+            least = SILENT_MIN[True]
+            ahead = [a for a in server.out.values() if a.reads and a.sent <= attempt.sent]
+        least *= min(cls.aim for cls in self.settings.classes)
+        tokens = sum(a.job.request.prompt if attempt.passed else a.unread for a in ahead)
+        return max(SILENT * (self.stage[attempt.reads].value or 0), least) + self.reading_time(tokens)
 
     def usable(self, roles: tuple[Role, ...], pair: tuple[str | None, str] = (None, "")) -> list[Server]:
         """Give the servers that may have new work; one that has failed gets a single request on trial.
@@ -441,9 +487,13 @@
         wait = sum(waits) + self.crowding() ** HOLDS * job.aim
         tenant = job.request.tenant or ""
         asked = self.asked[tenant].count * self.settings.routers / (RATE_SPAN / SECOND)
-        limit = OVER_LATE if asked > (self.quotas.get(tenant) or asked) else LATE
+        if self.now == job.arrived:
+            self.jam.add(min(1.0, wait / job.aim), JAM_BLEND)
+        limit = LATE - (LATE - JAMMED) * min(1.0, (self.jam.value or 0) / JAM)
+        if asked > (self.quotas.get(tenant) or asked):
+            limit = min(limit, OVER_LATE)
         late = self.now - job.arrived + wait
-        job.pause = round(late - LATE * job.aim)
+        job.pause = round(late - limit * job.aim)
         limit *= AGAIN if job.request.retry else 1
         return late > limit * job.aim
 
--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -80,6 +80,8 @@
     lag_at: int = 0
     passed: int = 0  # what was sent before this, others have passed: later ones of ours were answered
     heard: int = 0  # when it last showed a sign of life
+    probed: int = 0  # when it was probed last
+    answered: int = 0  # when it answered a probe last
     strikes: int = 0  # failures in a row
     errors: int = 0  # answers in a row that were errors, or could not be read
     aside_until: int = 0
--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -21,6 +21,7 @@
 from hoplane.net.wire import Call, Verdict
 
 MODEL = re.compile(r"/v2/models/([^/]+)(?:/versions/[^/]+)?(/ready|/infer)?")
+LIVE = "/v2/health/live"
 JSON_SIZE = "Inference-Header-Content-Length"  # how much of a body is JSON, where tensors follow in binary
 KEPT_HEADERS = ("Content-Type", JSON_SIZE)
 NOT_RUN = "X-Unprocessed"  # as on the platform; v2 itself has no word for it
@@ -180,7 +181,7 @@
     def feed(self, name: str, listed: Listed) -> None:
         """Take a cluster's list; a cluster seen for the first time is a new model."""
         if name not in self.models:
-            self.models[name] = Runtime(self.config, self.pool)
+            self.models[name] = Runtime(self.config, self.pool, LIVE)
         self.models[name].feed(listed)
 
     @property
@@ -199,7 +200,7 @@
         """Serve one request."""
         path, found = request.path, MODEL.fullmatch(request.path)
         infer = found is not None and found[2] == "/infer"
-        if found is None and path not in ("/v2", "/v2/", "/v2/health/live", "/v2/health/ready"):
+        if found is None and path not in ("/v2", "/v2/", LIVE, "/v2/health/ready"):
             return problem(404, "unknown path", close=True)
         if request.method != ("POST" if infer else "GET"):
             return problem(405, "only POST" if infer else "only GET", close=True)
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -20,6 +20,7 @@
 from hoplane.net.wire import Call, Verdict
 
 CHAT, READY = "/v1/chat/completions", "/health/ready"
+LIVE = "/health/live"  # at endpoints
 ID, CLASS, SESSION = "X-Correlation-Id", "X-Service-Class", "X-Session-Key"
 LEFT_MS, FACTS, REPEAT = "X-Time-Left-Ms", "X-Facts", "X-Repeat"
 LOAD, NOT_RUN = "X-Backend-Load", "X-Unprocessed"
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -27,6 +27,7 @@
 TAIL = 2048  # bytes kept of a stream's end, where usage and the load report stand
 RELEASE_TRY = timedelta(milliseconds=70)  # then another endpoint is asked as well
 UNHEARD = timedelta(milliseconds=500)  # an attempt given up after this casts doubt on kept connections
+PROBE_WAIT = timedelta(milliseconds=300)  # it is answered beside the queue, or the machine is gone
 HOLD_WAIT = timedelta(seconds=1)
 SHORT_WAIT = timedelta(seconds=1)  # for the body of an answer that is no stream
 QUIET = timedelta(seconds=4.8)  # without an event: a client must not be left waiting for 5 s
@@ -44,11 +45,13 @@
 class Runtime:
     """Holds the one conductor's state, its clock, its connections and what is out."""
 
-    def __init__(self, config: Config, pool: Pool, hold_path: Callable[[str], str | None] = nowhere) -> None:
+    def __init__(
+        self, config: Config, pool: Pool, live_path: str, hold_path: Callable[[str], str | None] = nowhere
+    ) -> None:
         self.config, self.pool, self.clock = config, pool, Clock()
         ledger = Ledger(config.ledger_most, config.ledger_keep)
         self.state = Conductor(config.settings, Router(config.settings, config.seed), ledger)
-        self.hold_path = hold_path
+        self.live_path, self.hold_path = live_path, hold_path
         self.loop = asyncio.get_running_loop()
         self.answers = Bodies(config.limits.bodies)
         self.exchanges: dict[str, Exchange] = {}
@@ -59,7 +62,8 @@
         self.busy = False
         self.effects = {
             ev.Forward: self.forward, ev.Abandon: self.abandon, ev.AskHold: self.ask_hold,
-            ev.LetGo: self.let_go, ev.Refuse: self.refuse, ev.Fail: self.fail, ev.Wake: self.wake,
+            ev.Probe: self.probe, ev.LetGo: self.let_go, ev.Refuse: self.refuse, ev.Fail: self.fail,
+            ev.Wake: self.wake,
             ev.Say: lambda effect: log.say(effect.event, **effect.facts),
         }
 
@@ -120,6 +124,9 @@
     def ask_hold(self, effect: ev.AskHold) -> None:
         self.spawn(self.hold(effect))
 
+    def probe(self, effect: ev.Probe) -> None:
+        self.spawn(self.look(effect))
+
     def let_go(self, effect: ev.LetGo) -> None:
         self.spawn(self.release(effect))
 
@@ -286,6 +293,29 @@
         finally:
             self.feed(ev.HoldAnswered(effect.id, effect.attempt, held))
 
+    async def look(self, effect: ev.Probe) -> None:
+        """Ask an endpoint for a sign of life; what tells nothing for sure counts as a reset."""
+        begun, status = self.loop.time(), Status.RESET
+        try:
+            async with asyncio.timeout(PROBE_WAIT.total_seconds()):
+                async with self.pool.request("GET", effect.endpoint.address, self.live_path) as answer:
+                    await answer.read()
+                    status = Status.OK if answer.status == 200 else Status.ERROR
+        except TimeoutError:
+            status = Status.TIMEOUT
+        except aiohttp.ClientConnectorError as error:
+            # Guards against our own want of a socket, and a reset, being held against the endpoint.
+            if isinstance(error.os_error, ConnectionRefusedError):
+                status = Status.CONNECT_FAILED
+        except (aiohttp.ClientError, OSError):
+            pass
+        if status in (Status.TIMEOUT, Status.CONNECT_FAILED):
+            # Guards against connections from before the cut, on which the next request would wait in vain.
+            self.pool.connector.drop_idle(effect.endpoint.address)
+            log.seldom("probe_unanswered", endpoint=effect.endpoint.name, status=status.value)
+        took = timedelta(seconds=self.loop.time() - begun)
+        self.feed(ev.Probed(effect.server, status, took))
+
     async def release(self, effect: ev.LetGo) -> None:
         """Call endpoint after endpoint until one has taken the release or its time is over."""
         path = self.hold_path(effect.id)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -202,3 +202,19 @@
     core.do(ev.Listed((endpoint("r", "reader", State.GONE),), False))
     core.do(ev.Listed((endpoint("r", "reader"),), False))
     assert core.state.number("r") == before
+
+
+def test_a_silent_endpoint_is_probed_and_the_answer_told_to_the_module(core, monkeypatch):
+    told = []
+    monkeypatch.setitem(core.state.router.handlers, api.Probed, lambda event: told.append(event))
+    monkeypatch.setitem(
+        core.state.router.handlers, api.Timer,
+        lambda event: core.state.router.actions.append(api.Probe(core.state.number("w"))),
+    )
+    (probe,) = core.do(ev.Due(1))
+    assert probe == ev.Probe(core.state.number("w"), endpoint("w", "writer"))
+    core.do(ev.Probed(probe.server, Status.TIMEOUT, 300 * MS))
+    assert told == [api.Probed(probe.server, Status.TIMEOUT, 300_000_000)]
+    core.do(ev.Listed((endpoint("w", "writer", State.GONE),), False))
+    core.do(ev.Probed(probe.server, Status.OK, MS))
+    assert len(told) == 1 and core.do(ev.Due(1)) == [], "an endpoint that is gone is asked no more"
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,6 +9,7 @@
     DONE,
     EVENT,
     FACTS,
+    SETTINGS,
     STREAM,
     USAGE,
     Discovery,
@@ -354,3 +355,28 @@
             assert peak < 96 * 1024, "kilobytes, at the most that it ever held"
             assert await program.stop() == 0
     run(test())
+
+
+def test_a_silent_endpoint_that_answers_no_probe_is_left_and_its_read_goes_elsewhere(tmp_path):
+    mute = []
+
+    async def first_is_cut_off(call, writer):
+        port = writer.get_extra_info("sockname")[1]
+        if call[0].startswith("POST /v1/chat") and not mute:
+            mute.append(port)
+        await (hang if port in mute else read_it)(call, writer)
+
+    async def test():
+        settings = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "probes": True}}
+        async with (
+            desk(tmp_path, first_is_cut_off, settings=settings) as program, Server(first_is_cut_off) as r2,
+        ):
+            await program.discovery.tell([*program.entries, entry("r2", r2.address, "prefill")])
+            while (await program.line("endpoints"))["known"] < 3:
+                pass
+            assert (await program.ask(chat()))[0].split()[1] == "200"
+            cut_off, other = sorted((program.reader, r2), key=lambda r: not r.address.endswith(str(mute[0])))
+            assert len(cut_off.named("GET /health/live")) == 1 and not other.named("GET /health/live")
+            assert len(cut_off.named("POST /v1/chat")) == len(other.named("POST /v1/chat")) == 1
+            assert (await program.line("probe_unanswered"))["status"] == "timeout"
+    run(test())
