Let writers read longer prompts while readers jam and places at writers are held at once

Also: two probes of one server are now half a second apart at least; the test on sockets had seen a second one before the first had timed out.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -26,6 +26,7 @@
 EMPTY_CELL_NEW = 2000  # tokens: what an empty cell still reads locally
 REMOTE_SHARE = 0.03  # of local turns, sent the remote way to feed its averages
 SHORT = 0.5  # multiple of the mean prompt up to which a prompt is short
+ROOMY, ROOMY_SHORT = 0.15, 1.2  # askings in vain up to which writers have room, and that multiple then
 IDLE = 120 * SECOND  # a session's row, and what a prefix drew, count no more after this
 BLEND = 0.1  # weight of a new value in a running average
 SPILL = 0.25  # a reader takes what it can read in this share of the aim, our part of it
@@ -46,7 +47,7 @@
 PASSED = 200 * MS  # what was sent so much before another that was answered is lost rather than in a queue
 ERRORS, BRIEF = 2, 100 * MS  # failures in a row that make a server down; one that took longer does alone
 ASIDE, ASIDE_MOST = SECOND, 8 * SECOND  # a dead or silent server stays aside, doubled up to the most
-BEFORE = 400 * MS  # its return it is probed
+BEFORE, BETWEEN = 400 * MS, 500 * MS  # when it is probed before its return; least time between two probes
 COLD_PART = 0.4  # of what a cold server must stand, over all routers
 SWEEP = 50 * MS  # how often servers are looked over and waiting requests tried again
 RATE_SPAN = 5 * SECOND  # what came lately came in this; what was told counts for a half to all of it
@@ -333,9 +334,8 @@
 
     def probe(self, server: Server) -> None:
         """Ask a listed server for a sign of life, not again and again in one silence."""
-        between = CHECK * min(cls.aim for cls in self.settings.classes)
         listed = server.entry.server in self.servers
-        if self.settings.probes and listed and self.now - server.probed > between:
+        if self.settings.probes and listed and self.now - server.probed > BETWEEN:
             server.probed = self.now
             self.actions.append(api.Probe(server.entry.server))
 
@@ -520,10 +520,12 @@
     def escape(self, job: Job) -> list[Server]:
         """Give the writers that may read a request themselves where readers jam or are gone.
 
-        Short prompts only (mixed servers: up to the mean), where none of ours waits and places are found."""
+        Short prompts only (mixed: up to the mean), where none of ours waits and places are found; longer
+        ones while nearly each place asked for is held, as reading slows a writer's answers."""
         if not self.settings.writers_read or job.local is not None or self.crowding() > CROWDED:
             return []
-        size, most = job.request.prompt / (self.prompts.value or 1), {Role.WRITE: SHORT, Role.BOTH: 1.0}
+        size = job.request.prompt / (self.prompts.value or 1)
+        most = {Role.WRITE: SHORT if self.crowding() > ROOMY else ROOMY_SHORT, Role.BOTH: 1.0}
         fit = [s for s in self.writers(job) if size <= most[s.role] or not self.live(READERS)]
         return [s for s in fit if not s.waiting and self.delay(s) <= SPILL * job.cls.aim]
 
