Let a cold server's part of the work grow while it warms, from a half to all it must stand

Lines at fault: rules.py, cold_room, gave a cold server 0.4 of a warm one's rate for all of its ten seconds, though it warms by what it serves.

Now the part is 0.5 at its start and grows evenly to 1 within the told time to warm. By the rule it must stand 4 times what it can do, 0.29 of a warm one's at the least: 1.16 at the start, more later, so half of that is kept free.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -48,7 +48,7 @@
 ERRORS, BRIEF = 2, 100 * MS  # failures in a row that make a server down; one that took longer does alone
 ASIDE, ASIDE_MOST = SECOND, 8 * SECOND  # a dead or silent server stays aside, doubled up to the most
 BEFORE, BETWEEN = 400 * MS, 500 * MS  # when it is probed before its return; least time between two probes
-COLD_PART = 0.4  # of what a cold server must stand, over all routers
+COLD_PART = 0.5  # of what a cold server must stand, over all routers, at its start; all of it when warm
 SWEEP = 50 * MS  # how often servers are looked over and waiting requests tried again
 RATE_SPAN = 5 * SECOND  # what came lately came in this; what was told counts for a half to all of it
 
@@ -461,12 +461,16 @@
         return True
 
     def cold_room(self, server: Server, reads: bool) -> bool:
-        """Give a cold server a part of a warm one's rate, from a random moment so that routers don't meet."""
+        """Give a cold server a part of a warm one's rate, from a random moment so that routers don't meet.
+
+        The part grows as it warms, which it does by what it serves. Guards against servers that come back in
+        a jam and stay nearly idle; may harm where one warms only at the end of its time."""
         born, told = server.entry.born, self.settings
         if not born or self.now >= born + told.cold or not told.fall_multiple:
             return True
         rate = self.sends[reads].add(self.now, 0) / len(self.live((server.role,)))
-        part = min(1.0, told.cold_share * told.fall_multiple) * COLD_PART
+        part = COLD_PART + (1 - COLD_PART) * (self.now - born) / told.cold
+        part *= min(1.0, told.cold_share * told.fall_multiple)
         gap = round(RATE_SPAN / (rate * part)) if rate else told.cold
         if server.next_cold is None:
             server.next_cold = self.now + self.rng.randrange(gap + 1)
--- a/tests/test_rules_kept.py
+++ b/tests/test_rules_kept.py
@@ -217,6 +217,22 @@
     assert sum(len(s.out) for s in desk.router.servers.values() if s.entry.server == WRITER_A) <= 1
 
 
+def test_a_cold_servers_part_grows_while_it_warms():
+    desk = Desk()
+    born = desk.now
+    desk.do(api.Fleet((entry(WRITER_B, "writer", 1, born=born),), whole=False))
+    desk.router.sends[False].add(born, 100)  # 20 a second till now
+    taken = []
+    for tick in range(1000):
+        desk.router.now = born + tick * 10 * MS
+        if tick % 5 == 0:
+            desk.router.sends[False].add(desk.router.now)
+        if desk.router.cold_room(desk.router.servers[WRITER_B], False):
+            taken.append(tick)
+    first, last = sum(tick < 300 for tick in taken), sum(tick >= 700 for tick in taken)
+    assert last > 1.3 * first > 5
+
+
 # --- nothing left pinned
 
 
