Hold a silent read for lost where a probe's load report tells that nothing waits there

A single connection had fallen silent.

Line at fault: rules.py, patience: a server that answers a probe gets 1.5 aims, as it may be jammed. A probe of /stats tells the two apart: x1 was 0 at the readers of lost reads, 18 to 46 (thousands of tokens) at jammed ones.

Now a probe is GET /stats where reports are told; what was sent 400 ms before an answer that tells of hardly anything waiting counts as passed by others, which has half an aim and goes alone. The columns are found by what the settings say that they tell.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -37,7 +37,8 @@
     def on_platform(self) -> tuple[platform.Platform, Discovery]:
         """Put the platform's front and its discovery together."""
         config = self.config
-        runtime = Runtime(config, self.pool, platform.LIVE, platform.hold_path)
+        path = platform.probe_path(config.settings)
+        runtime = Runtime(config, self.pool, path, platform.hold_path, platform.read_load)
         watch = Discovery(self.pool, "{}:{}".format(*config.discovery), platform.read_list, runtime.feed)
         if config.known.get("endpoints"):
             try:
--- a/hoplane/adapter.py
+++ b/hoplane/adapter.py
@@ -189,6 +189,18 @@
     return range(whole(fields, name)) if name in fields else range(0)
 
 
+REPORTS = {"waiting_told": "thousands_of_prompt_tokens", "held_told": "share_of_memory"}
+
+
+def read_reports(fields: Fields) -> dict[str, str]:
+    """Find the columns of load reports that we know, by what the settings say that they tell."""
+    columns = listed(fields, "reporting.columns")
+    told = {name: fields.get(f"family_info.report_{name}", "").replace(" ", "_") for name in columns}
+    return {
+        key: name for key, start in REPORTS.items() for name in columns if told[name].startswith(start)
+    }
+
+
 def read_settings(fields: Fields) -> api.Settings:
     """Translate what an instance is told at start."""
     return api.Settings(
@@ -196,6 +208,7 @@
         classes=tuple(class_settings(fields, index) for index in count(fields, "lanes.count")),
         tenants=tuple(tenant_settings(fields, index) for index in count(fields, "projects.count")),
         **given(fields, SETTING_FIELDS),
+        **read_reports(fields),
     )
 
 
--- a/hoplane/decision/interface.py
+++ b/hoplane/decision/interface.py
@@ -125,6 +125,8 @@
     cold_share: float = 1.0
     fall_multiple: float | None = None
     fall: int = 0
+    waiting_told: str | None = None  # what load reports call the thousands of prompt tokens that wait
+    held_told: str | None = None  # and the share of its memory that a server holds
 
     def __post_init__(self) -> None:
         """Refuse settings that cannot be."""
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -45,9 +45,11 @@
 SILENT_MIN = {True: 0.5, False: 1.5}  # and at least this multiple of the shortest aim, for reads and writes
 CHECK, SILENT_ALIVE = 0.25, 1.5  # multiples of that aim: silence to probe at, and of one that answers probes
 PASSED = 200 * MS  # what was sent so much before another that was answered is lost rather than in a queue
+IDLE_WAITING, IDLE_HELD = 1.0, 0.8  # thousands of tokens, share of memory: under both no request has to wait
+STALE = 400 * MS  # how old such a report may be
 ERRORS, BRIEF = 2, 100 * MS  # failures in a row that make a server down; one that took longer does alone
 ASIDE, ASIDE_MOST = SECOND, 8 * SECOND  # a dead or silent server stays aside, doubled up to the most
-BEFORE, BETWEEN = 400 * MS, 500 * MS  # when it is probed before its return; least time between two probes
+BEFORE, BETWEEN = 400 * MS, 400 * MS  # when it is probed before its return; least time between two probes
 COLD_PART = 0.5  # of what a cold server must stand, over all routers, at its start; all of it when warm
 SWEEP = 50 * MS  # how often servers are looked over and waiting requests tried again
 RATE_SPAN = 5 * SECOND  # what came lately came in this; what was told counts for a half to all of it
@@ -335,14 +337,15 @@
     def probe(self, server: Server) -> None:
         """Ask a listed server for a sign of life, not again and again in one silence."""
         listed = server.entry.server in self.servers
-        if self.settings.probes and listed and self.now - server.probed > BETWEEN:
+        if self.settings.probes and listed and self.now - server.probed >= BETWEEN:
             server.probed = self.now
             self.actions.append(api.Probe(server.entry.server))
 
     def on_probed(self, event: api.Probed) -> None:
         """Leave a server that shows no sign of life at once; one that does may be jammed, and is given time.
 
-        Guards against a jam that looks like a cut-off machine, and against requests that wait at one."""
+        Guards against a jam that looks like a cut-off machine, and against requests that wait at one. Where
+        it reports that hardly anything waits, what we wait for there is lost, as its connection is silent."""
         if (server := self.servers.get(event.server)) is None:
             return
         if event.status in (Status.TIMEOUT, Status.CONNECT_FAILED):
@@ -353,6 +356,9 @@
             self.give_up(server)
         elif event.status is not Status.RESET:
             server.answered = self.now
+            waiting, held = map(event.load.get, (self.settings.waiting_told, self.settings.held_told))
+            idle = waiting is not None and waiting < IDLE_WAITING and (held or 0) < IDLE_HELD
+            server.idle_at = self.now - STALE if idle else 0
 
     def patience(self, attempt: Attempt) -> float:
         """Give how long an attempt may go without a sign of life before it is held to be lost.
--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -82,6 +82,7 @@
     heard: int = 0  # when it last showed a sign of life
     probed: int = 0  # when it was probed last
     answered: int = 0  # when it answered a probe last
+    idle_at: int = 0  # when such an answer told that hardly anything waits there, 0 if it told otherwise
     strikes: int = 0  # failures in a row
     errors: int = 0  # answers in a row that were errors, or could not be read
     aside_until: int = 0
@@ -145,8 +146,8 @@
 
     @property
     def passed(self) -> bool:
-        """Tell whether one of ours that was sent there later has been answered: this one may be lost."""
-        return self.sent < self.server.passed
+        """Tell whether later ones of ours were answered, or nothing waits there: this one may be lost."""
+        return self.sent < max(self.server.passed, self.server.idle_at)
 
     def take(self) -> None:
         """Book it as out."""
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -14,13 +14,13 @@
 
 from hoplane.config import Config
 from hoplane.core.events import Asked, Endpoint, Forward, Left, Listed
-from hoplane.decision.interface import State, Status
+from hoplane.decision.interface import Settings, State, Status
 from hoplane.net.runtime import Runtime
 from hoplane.net.server import MARGIN, Relay, Server, StreamSink, problem, retry_after, target
 from hoplane.net.wire import Call, Verdict
 
 CHAT, READY = "/v1/chat/completions", "/health/ready"
-LIVE = "/health/live"  # at endpoints
+LIVE, STATS = "/health/live", "/stats"  # at endpoints
 ID, CLASS, SESSION = "X-Correlation-Id", "X-Service-Class", "X-Session-Key"
 LEFT_MS, FACTS, REPEAT = "X-Time-Left-Ms", "X-Facts", "X-Repeat"
 LOAD, NOT_RUN = "X-Backend-Load", "X-Unprocessed"
@@ -37,6 +37,11 @@
     return f"/v1/holds/{id}"
 
 
+def probe_path(settings: Settings) -> str:
+    """Give the path of a probe: the one that tells the load, where there are reports."""
+    return STATS if settings.waiting_told else LIVE
+
+
 def read_list(answer: dict) -> Listed:
     """Translate discovery's list."""
     try:
@@ -53,10 +58,10 @@
     return Listed(endpoints, bool(answer.get("snapshot")))
 
 
-def read_load(text: str) -> dict[str, float]:
+def read_load(text: str | bytes) -> dict[str, float]:
     """Translate a load report; what is no figure is left out."""
     load = {}
-    for pair in text.split(","):
+    for pair in (text if isinstance(text, str) else text.decode("latin-1")).split(","):
         name, _, value = pair.strip().partition("=")
         with suppress(ValueError):
             if isfinite(figure := float(value)):
@@ -137,7 +142,7 @@
     def read_tail(self, tail: bytes) -> tuple[int, dict[str, float]]:
         """Give what a stream's end tells: tokens found kept, and a load report in a comment."""
         lines = LOAD_LINE.findall(tail)
-        return cached(tail), read_load(lines[-1].decode("latin-1")) if lines else {}
+        return cached(tail), read_load(lines[-1]) if lines else {}
 
     def refuse(self, pause: timedelta) -> None:
         self.answer(web.Response(status=503, headers={"Retry-After": retry_after(pause)}, text="refused\n"))
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -42,16 +42,22 @@
     """Give no path: these endpoints hold nothing."""
 
 
+def untold(body: bytes) -> dict[str, float]:
+    """Read no load report: these endpoints tell none."""
+    return {}
+
+
 class Runtime:
     """Holds the one conductor's state, its clock, its connections and what is out."""
 
     def __init__(
-        self, config: Config, pool: Pool, live_path: str, hold_path: Callable[[str], str | None] = nowhere
+        self, config: Config, pool: Pool, live_path: str, hold_path: Callable[[str], str | None] = nowhere,
+        read_report: Callable[[bytes], dict[str, float]] = untold,
     ) -> None:
         self.config, self.pool, self.clock = config, pool, Clock()
         ledger = Ledger(config.ledger_most, config.ledger_keep)
         self.state = Conductor(config.settings, Router(config.settings, config.seed), ledger)
-        self.live_path, self.hold_path = live_path, hold_path
+        self.live_path, self.hold_path, self.read_report = live_path, hold_path, read_report
         self.loop = asyncio.get_running_loop()
         self.answers = Bodies(config.limits.bodies)
         self.exchanges: dict[str, Exchange] = {}
@@ -295,12 +301,13 @@
 
     async def look(self, effect: ev.Probe) -> None:
         """Ask an endpoint for a sign of life; what tells nothing for sure counts as a reset."""
-        begun, status = self.loop.time(), Status.RESET
+        begun, status, load = self.loop.time(), Status.RESET, {}
         try:
             async with asyncio.timeout(PROBE_WAIT.total_seconds()):
                 async with self.pool.request("GET", effect.endpoint.address, self.live_path) as answer:
-                    await answer.read()
+                    body = await self.read_short(answer)
                     status = Status.OK if answer.status == 200 else Status.ERROR
+                    load = self.read_report(body or b"")
         except TimeoutError:
             status = Status.TIMEOUT
         except aiohttp.ClientConnectorError as error:
@@ -314,7 +321,7 @@
             self.pool.connector.drop_idle(effect.endpoint.address)
             log.seldom("probe_unanswered", endpoint=effect.endpoint.name, status=status.value)
         took = timedelta(seconds=self.loop.time() - begun)
-        self.feed(ev.Probed(effect.server, status, took))
+        self.feed(ev.Probed(effect.server, status, took, load))
 
     async def release(self, effect: ev.LetGo) -> None:
         """Call endpoint after endpoint until one has taken the release or its time is over."""
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -72,6 +72,16 @@
     assert host.routers["router-1"].jobs == {} and len(host.routers["router-1"].servers) == 2
 
 
+def test_the_columns_of_load_reports_are_known_by_what_they_tell():
+    told = (
+        "reporting.columns=x0,latency_ms,x1 family_info.report_x0=thousands_of_prompt_tokens_waiting "
+        "family_info.report_x1=share_of_memory_that_is_held"
+    )
+    settings = adapter.read_settings(adapter.split_fields(f"{CONF} {told}".split()))
+    assert (settings.waiting_told, settings.held_told) == ("x0", "x1")
+    assert adapter.read_settings(adapter.split_fields(CONF.split())).waiting_told is None
+
+
 def test_settings_keep_the_interfaces_values_where_absent():
     settings = adapter.read_settings(adapter.split_fields(CONF.split()))
     assert settings.classes == (
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -587,6 +587,33 @@
     assert desk.of(api.Cancel) == [api.Cancel("probe", 0)], "yet not for ever"
 
 
+REPORTS = {"waiting_told": "x1", "held_told": "x0"}
+
+
+def test_a_read_is_lost_where_a_probe_tells_that_hardly_anything_waits():
+    desk, reader = silent(**REPORTS)
+    desk.do(api.Probed(reader, Status.OK, MS, {"x0": 0.1, "x1": 0.0}))
+    desk.run_timers(desk.now + 420 * MS)
+    assert desk.of(api.Probe) and not desk.of(api.Cancel), "the first report may be older than the read"
+    desk.do(api.Probed(reader, Status.OK, MS, {"x0": 0.1, "x1": 0.4}))
+    desk.run_timers(desk.now + 200 * MS)
+    assert desk.of(api.Cancel) == [api.Cancel("probe", 0)], "in time to read elsewhere"
+    desk.outcome(Status.CANCELLED, reader, "probe")
+    assert desk.sent() and desk.sent() != [reader]
+    desk.leave("probe")
+    desk.ask("r2", session="p")
+    assert desk.sent() == [reader], "the server itself is well"
+
+
+@pytest.mark.parametrize("load", [{"x0": 0.1, "x1": 9.0}, {"x0": 0.9, "x1": 0.0}, {}])
+def test_a_read_is_not_lost_where_a_probe_tells_of_a_jam_or_nothing(load):
+    desk, reader = silent(**REPORTS)
+    for _ in range(2):
+        desk.do(api.Probed(reader, Status.OK, MS, load))
+        desk.run_timers(desk.now + 420 * MS)
+    assert desk.of(api.Cancel) == []
+
+
 def test_a_probe_that_was_reset_tells_nothing():
     desk, reader = silent()
     desk.do(api.Probed(reader, Status.RESET, MS))
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -357,6 +357,38 @@
     run(test())
 
 
+def test_a_read_on_a_silent_connection_goes_elsewhere_once_the_endpoint_tells_that_nothing_waits(tmp_path):
+    lost = []
+
+    async def first_is_lost(call, writer):
+        if call[0].startswith("POST /v1/chat") and not lost:
+            lost.append(writer.get_extra_info("sockname")[1])
+            await hang(call, writer)
+        elif call[0].startswith("GET /stats"):
+            writer.write(message("HTTP/1.1 200 OK", b"latency_ms=12.5,x0=0.1,x1=0"))
+        else:
+            await read_it(call, writer)
+
+    async def test():
+        told = {"report_x0": "share of memory that is held", "report_x1": "thousands of prompt tokens"}
+        settings = {
+            **SETTINGS, "allowed": {**SETTINGS["allowed"], "probes": True},
+            "reporting": {"how": "piggyback", "columns": ["latency_ms", "x0", "x1"]},
+            "family_info": {**SETTINGS["family_info"], **told},
+        }
+        async with desk(tmp_path, first_is_lost, settings=settings) as program, Server(first_is_lost) as r2:
+            await program.discovery.tell([*program.entries, entry("r2", r2.address, "prefill")])
+            while (await program.line("endpoints"))["known"] < 3:
+                pass
+            begun = asyncio.get_running_loop().time()
+            assert (await program.ask(chat()))[0].split()[1] == "200"
+            assert asyncio.get_running_loop().time() - begun < 1.8, "before the time of one that is jammed"
+            silent, other = sorted((program.reader, r2), key=lambda r: not r.address.endswith(str(lost[0])))
+            assert len(silent.named("GET /stats")) >= 2 and not silent.named("GET /health")
+            assert len(silent.named("POST /v1/chat")) == len(other.named("POST /v1/chat")) == 1
+    run(test())
+
+
 def test_a_silent_endpoint_that_answers_no_probe_is_left_and_its_read_goes_elsewhere(tmp_path):
     mute = []
 
