Send a booking's last byte 5 ms after the rest, so that a reset connection shows in time

What breaks before the last byte is written never ran, but the whole request was written at once, so every reset counted as may have run.

Line at fault: runtime.py, play: bytes counted as sent from the head on. Excluded: waits for an answer (all breaks came within 18 ms), connections that never came up (these were told apart before).

Now the body of a request that must not run twice goes out but for its last byte, which follows 5 ms later; a break in between is a failed connection, and another attempt follows. Both fronts; a test on each.

--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -113,13 +113,16 @@
 
 @dataclass(slots=True, frozen=True)
 class Forward:
-    """Open an attempt: send the request to an endpoint, which is told `patience`."""
+    """Open an attempt: send the request to an endpoint, which is told `patience`.
+
+    `once`: it must not run twice, so it has to be known for as long as may be that it cannot have run."""
 
     id: str
     attempt: int
     endpoint: Endpoint
     patience: timedelta
     reads: bool
+    once: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -248,7 +248,10 @@
         if action.timeout and (own := to_span(action.timeout)) < patience:
             patience = own
             yield ev.Wake(now + own, (action.request, index, request.taken))
-        yield ev.Forward(action.request, index, endpoint, patience, role is api.Role.READ)
+        reads = role is api.Role.READ
+        classes = (each for each in state.settings.classes if each.name == request.asked.cls)
+        once = not reads and any(each.effect is api.Effect.UNSAFE for each in classes)
+        yield ev.Forward(action.request, index, endpoint, patience, reads, once)
         return []
     request.attempts[index].over = True
     return [api.Outcome(action.request, index, action.server, status, 0, request.closed)]
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from collections.abc import AsyncIterator
 from contextlib import suppress
 from datetime import timedelta
 from weakref import WeakSet
@@ -16,6 +17,7 @@
 from hoplane.net.aio import Connector, never_resend
 
 READ_AHEAD = 16 * 1024  # bytes taken from an endpoint before a slow client has taken them
+LAST_BYTE = timedelta(milliseconds=5)  # a round trip to another data centre takes half of that
 IDLE_SHARE = 0.5  # of the endpoints' idle time: what is written to a connection later may end as a reset
 
 
@@ -61,6 +63,17 @@
             made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return made
 
+    @staticmethod
+    async def held_back(body: bytes, sent: asyncio.Event) -> AsyncIterator[bytes]:
+        """Give a body whose last byte goes a moment after all else; `sent` is set as it goes.
+
+        Guards a request that must not run twice against a connection that was closed or reset unseen: it
+        shows in that moment, while the request cannot have run and may go out again."""
+        yield body[:-1]
+        await asyncio.sleep(LAST_BYTE.total_seconds())
+        sent.set()
+        yield body[-1:]
+
     @staticmethod
     async def sent(session: object, context: asyncio.Event | None, params: object) -> None:
         """Note that bytes of a call are on their way."""
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -159,9 +159,13 @@
             return ev.Ended(effect.id, effect.attempt, status, note, load or {})
 
         call, begun = exchange.call(effect), self.loop.time()
+        headers, data, told = call.headers, call.body, sent
+        if effect.once and data:
+            headers = {**headers, "Content-Length": str(len(data))}
+            data, told = self.pool.held_back(data, sent), None
         try:
             answer = await self.pool.request(
-                call.method, effect.endpoint.address, call.path, sent, headers=call.headers, data=call.body
+                call.method, effect.endpoint.address, call.path, told, headers=headers, data=data
             )
         except Spoilt as error:
             return over(self.spoilt(effect, error))
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -21,10 +21,11 @@
         return probe.getsockname()[1]
 
 
-async def read_message(reader):
+async def read_message(reader, begun=lambda first: None):
     """Read one HTTP/1.1 message: its first line, headers in lower case, and body; None at the end."""
     try:
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        begun(head[0])
     except (asyncio.IncompleteReadError, ConnectionError):
         return None
     headers = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in head[1:] if line)}
@@ -70,7 +71,7 @@
 
     async def serve(self, reader, writer):
         try:
-            while call := await read_message(reader):
+            while call := await read_message(reader, lambda first: self.begun(first, writer)):
                 async with self.came:
                     self.calls.append(call)
                     self.came.notify_all()
@@ -88,6 +89,9 @@
         finally:
             writer.close()
 
+    def begun(self, first, writer):
+        """See a call whose head is there; a ConnectionError ends it unread."""
+
     def named(self, start):
         return [call for call in self.calls if call[0].startswith(start)]
 
--- a/tests/test_bad_peers.py
+++ b/tests/test_bad_peers.py
@@ -1,12 +1,14 @@
 """Clients and endpoints that send what nobody should: what is bad ends, and the rest goes on."""
 
 import asyncio
+import socket
+import struct
 import time
 
 import pytest
-from standins import EVENT, STREAM, USAGE, Server, chat, chunk, entry, message, read_message
+from standins import EVENT, STREAM, USAGE, Server, chat, chunk, entry, message, platform, read_message
 from test_kserve import ANSWER, assignment, infer, sidecar, status
-from test_platform import desk, hang, never_read, run, write_it
+from test_platform import desk, hang, never_read, read_it, run, write_it
 
 HEAD, _, BODY = chat().partition(b"\r\n\r\n")
 BARE = HEAD.replace(b"\r\nContent-Length: 15", b"")
@@ -203,6 +205,35 @@
     return play
 
 
+class Resets(Server):
+    """Resets its first inference while it comes."""
+
+    left = 1
+
+    def begun(self, first, writer):
+        if self.left and ("/chat" in first or "/infer" in first):
+            self.left -= 1
+            wipe = struct.pack("ii", 1, 0)
+            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, wipe)
+            writer.transport.abort()
+            raise ConnectionResetError
+
+
+def test_a_booking_whose_connection_is_reset_before_its_last_byte_never_ran(tmp_path):
+    async def test():
+        async with Server(read_it) as reader, Resets(write_it) as writer:
+            entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
+            async with platform(tmp_path, entries) as program:
+                assert (await program.ask(chat(cls="booking")))[0].split()[1] == "200"
+                (call,) = writer.named("POST /v1/chat")
+                assert not writer.left and call[2] == BODY and call[1]["content-length"] == "15"
+        (tmp_path / "v2").mkdir()
+        async with Resets(answer_v2) as server, sidecar(tmp_path / "v2", server) as program:
+            assert await status(program, infer()) == 200
+            assert not server.left and len(server.calls) == 1
+    run(test())
+
+
 def test_a_stream_spoilt_at_its_opening_may_have_run(tmp_path):
     async def one(folder, name, data):
         folder.mkdir()
