Ask discovery as one of many: wait for the turn, pause longer and at random

A call waits up to 2 s for its turn and then gets 503. One that is given up is still served, in vain, so no other is.

A wait of 10 s does as well as one of 0.5 s, so the short wait, which shows a lost watch, stays.

Lines at fault: discovery.py, PATIENCE and PAUSE, fixed whatever the number of conductors. Now `core/pacing.py` gives both from that number, the pause doubled up to 3 s and drawn; four conductors ask as they did.

Also: a line `tally` every 10 s counts what a conductor costs the fleet.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -7,6 +7,7 @@
 import gc
 import logging
 import os
+import random
 import sys
 from collections.abc import Callable
 from dataclasses import fields, replace
@@ -16,6 +17,7 @@
 from hoplane import config as configuration
 from hoplane import log, xds
 from hoplane.config import Config, ConfigError
+from hoplane.core.pacing import Pacing
 from hoplane.fronts import kserve, platform
 from hoplane.net import signals
 from hoplane.net.discovery import Discovery
@@ -39,7 +41,9 @@
         config = self.config
         path = platform.probe_path(config.settings)
         runtime = Runtime(config, self.pool, path, platform.hold_path, platform.read_load)
-        watch = Discovery(self.pool, "{}:{}".format(*config.discovery), platform.read_list, runtime.feed)
+        address = "{}:{}".format(*config.discovery)
+        pacing = Pacing(config.settings.routers, random.Random(config.seed))
+        watch = Discovery(self.pool, address, platform.read_list, runtime.feed, pacing)
         if config.known.get("endpoints"):
             try:
                 watch.take({**config.known, "snapshot": True})
@@ -91,17 +95,17 @@
         gc.collect()
         gc.freeze()  # what lives from the start to the end need not be looked at again and again
         log.say("started", name=self.config.name, listen="{}:{}".format(*self.config.listen), pid=os.getpid())
-        tidying = asyncio.create_task(self.tidy())
+        beside = [asyncio.create_task(self.tidy()), asyncio.create_task(self.pool.tally.tell())]
         await stop.wait()
         log.say("stopping", open=self.front.server.open)
         await self.front.server.stop()
         for runtime in self.front.runtimes:
             await runtime.rest()
         signals.ignore_reload()
-        tidying.cancel()
-        self.watching.cancel()
+        for task in (*beside, self.watching):
+            task.cancel()
         await self.pool.close()
-        log.say("stopped")
+        log.say("stopped", **self.pool.tally.line())
 
 
 async def serve(config: Config, again: Callable[[], Config]) -> None:
--- a/hoplane/net/discovery.py
+++ b/hoplane/net/discovery.py
@@ -11,20 +11,18 @@
 from hoplane import log
 from hoplane.config import Config
 from hoplane.core.events import Listed
+from hoplane.core.pacing import WAIT, Pacing
 from hoplane.net.pool import Pool
 
-# Guards against a watch whose answer is lost, which gives no sign: all that discovery tells meanwhile would
-# go unheard. Its agent is on our own machine, answers at no cost, and so can be asked often.
-WAIT = timedelta(seconds=0.5)  # that a watch may be held open
-PATIENCE = WAIT + timedelta(seconds=0.3)  # that we wait for its answer
-PAUSE = timedelta(milliseconds=60)  # after a failed call: the next must come within 200 ms
-
 
 class Discovery:
     """One watch that goes on for ever, from a version that is known."""
 
-    def __init__(self, pool: Pool, address: str, read: Callable[[dict], Listed], feed: Callable) -> None:
+    def __init__(
+        self, pool: Pool, address: str, read: Callable[[dict], Listed], feed: Callable, pacing: Pacing
+    ) -> None:
         self.pool, self.address, self.read, self.feed = pool, address, read, feed
+        self.pacing = pacing
         self.index: int | None = None
         self.failing = False
 
@@ -33,21 +31,22 @@
 
     def moved(self, config: Config) -> Discovery:
         """Give a new configuration's watch: another agent may number lists anew, so it asks for all."""
-        return Discovery(self.pool, "{}:{}".format(*config.discovery), self.read, self.feed)
+        return Discovery(self.pool, "{}:{}".format(*config.discovery), self.read, self.feed, self.pacing)
 
-    def take(self, answer: object) -> None:
-        """Take an answer in: a whole list replaces all, changes apply to a list we have."""
+    def take(self, answer: object) -> int:
+        """Take an answer in: a whole list replaces all, changes apply to a list we have. Gives its lines."""
         if not isinstance(answer, dict) or not isinstance(answer.get("index"), int):
             raise ValueError("the list has no index")
         whole = bool(answer.get("snapshot"))
         if not whole and self.index is not None and answer["index"] < self.index:
             # Guards against an agent that started anew: its changes belong to a list that we do not have.
             self.index = None
-            return
+            return 0
         listed = self.read(answer)
         self.index = answer["index"]
         if whole or listed.endpoints:
             self.feed(listed)
+        return len(listed.endpoints)
 
     async def watch(self) -> None:
         """Watch until cancelled."""
@@ -55,20 +54,23 @@
             path = "/registry/instances"
             if self.index is not None:
                 path += f"?since={self.index}&timeout_ms={WAIT // timedelta(milliseconds=1)}"
+            self.pool.tally["lists" if self.index is None else "watches"] += 1
             try:
-                async with asyncio.timeout(PATIENCE.total_seconds()):
+                async with asyncio.timeout(self.pacing.patience.total_seconds()):
                     async with self.pool.request("GET", self.address, path) as answer:
                         body = await answer.read()
                 if answer.status != 200:
                     raise ValueError(f"status {answer.status}")
-                self.take(orjson.loads(body))
+                self.pool.tally["list_lines"] += self.take(orjson.loads(body))
             except Exception as error:
+                self.pool.tally["watches_failed"] += 1
                 # Guards against an answer of any form that would end the watch, and with it the list, unseen.
                 if not self.failing:
                     log.say("discovery_lost", error=repr(error))
                 self.failing = True
-                await asyncio.sleep(PAUSE.total_seconds())
+                await asyncio.sleep(self.pacing.failed().total_seconds())
                 continue
+            self.pacing.answered()
             if self.failing:
                 log.say("discovery_back", index=self.index)
             self.failing = False
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -15,6 +15,7 @@
 
 from hoplane.config import Config
 from hoplane.net.aio import Connector, never_resend
+from hoplane.net.tally import Tally
 
 READ_AHEAD = 16 * 1024  # bytes taken from an endpoint before a slow client has taken them
 LAST_BYTE = timedelta(milliseconds=5)  # a round trip to another data centre takes half of that
@@ -26,6 +27,7 @@
 
     def __init__(self, config: Config) -> None:
         self.most, self.sockets = config.limits.upstreams, WeakSet()
+        self.tally = Tally()
         # Guards against aiohttp's total of 100, past which attempts would wait unseen: we count ourselves.
         self.connector = Connector(
             limit=0,
@@ -59,6 +61,7 @@
             raise OSError("no socket is left for another connection")
         made = socket.socket(*info[:3])
         self.sockets.add(made)
+        self.tally["connections"] += 1
         with suppress(OSError):
             made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return made
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -33,6 +33,19 @@
 QUIET = timedelta(seconds=4.8)  # without an event: a client must not be left waiting for 5 s
 
 
+COUNTED: dict[type, Callable[..., str]] = {
+    ev.Asked: lambda each: "asked_again" if each.retry else "asked",
+    ev.Forward: lambda each: "reads" if each.reads else "writes",
+    ev.Ended: lambda each: f"ended_{each.status.value}",
+    ev.AskHold: lambda each: "holds",
+    ev.HoldAnswered: lambda each: "holds_" + {True: "held", False: "none", None: "unknown"}[each.held],
+    ev.Probe: lambda each: "probes",
+    ev.LetGo: lambda each: "releases",
+    ev.Refuse: lambda each: "refused",
+    ev.Fail: lambda each: "failed",
+}
+
+
 def framed(answer: aiohttp.ClientResponse) -> bool:
     """Tell whether an answer's end is told, so that one cut short can be known."""
     return "Transfer-Encoding" in answer.headers or "Content-Length" in answer.headers
@@ -81,11 +94,19 @@
         self.busy = True
         try:
             while self.queue:
-                for effect in reduce(self.state, self.clock.now(), self.queue.popleft()):
+                event = self.queue.popleft()
+                self.count(event)
+                for effect in reduce(self.state, self.clock.now(), event):
+                    self.count(effect)
                     self.effects[type(effect)](effect)
         finally:
             self.busy = False
 
+    def count(self, what: ev.Event | ev.Effect) -> None:
+        """Count what the fleet pays for, and how each attempt and place asked for ended."""
+        if name := COUNTED.get(type(what)):
+            self.pool.tally[name(what)] += 1
+
     def spawn(self, work: Coroutine) -> asyncio.Task:
         """Run work beside; it is awaited at the end."""
         task = self.loop.create_task(work)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import socket
 from datetime import timedelta
 from types import SimpleNamespace
@@ -10,6 +11,7 @@
 
 from hoplane.config import platform
 from hoplane.core.events import Asked, Ended, Left
+from hoplane.core.pacing import Pacing
 from hoplane.decision.interface import KEPT, Status
 from hoplane.fronts.kserve import problem
 from hoplane.fronts.platform import hold_path, read_list
@@ -178,7 +180,7 @@
 
 def test_discovery_applies_lists_and_changes_and_asks_anew_after_a_step_back():
     told = []
-    watch = Discovery(None, "", read_list, told.append)
+    watch = Discovery(None, "", read_list, told.append, Pacing(1, random.Random(1)))
     one, two = entry("a", "127.0.0.1:1", "prefill"), entry("b", "127.0.0.1:2", "decode", "Odd")
     watch.take({"index": 5, "snapshot": True, "endpoints": [one]})
     watch.take({"index": 7, "snapshot": False, "endpoints": [two]})
