Judge writers by memory told and errors met, and give cold servers their turns in time

Seen, counted over all conductors: each sends 1.5 requests a second, so it meets each of 40 servers every 10 s. - Servers that answer every second request with 500 within 10 ms look idle and draw more: 0.15 to 0.24 errors for each request between 4 and 14 s, up to 12% of all bookings lost. Two errors in a row (ERRORS) come too late, after both. - 24 servers that joined had one send each in 2 s from all 40 conductors, where warm ones had ten, for 8 s, and told nothing waiting; warm ones told 97% of memory held. A turn came after a span drawn once, of up to 36 s (`next_cold`), and readers were asked only where they were first on the ring. - Among warm writers 97% of memory was held at some and 20% at others.

Lines at fault: rules.py, `failed`, `cold_room`, `cost`. Now a doubt of each server from its errors of late weighs eight times as much for a booking as for a lookup; cold servers' turns are paid in over time, and one whose turn has come goes first; the share of memory in the report at any attempt's end counts in a writer's cost, with 0.2 drawn.

Heads of streams and answers to holds carry no report. Slow first steps told to peers are gone, as reports show slow writers.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -40,17 +40,20 @@
 JAM, JAM_BLEND = 0.5, 0.03  # mean wait, in aims, that is a full jam; weight of a new request in that mean
 CROWDED, AGAIN = 0.75, 0.6  # askings in vain past which no writer is idle; part of the limits for repeats
 
-SLOW = 4.0  # multiple of the usual first step that makes a writer slow
 SILENT = 6.0  # multiple of the mean time of a stage, with no sign of life, that makes a server silent
 SILENT_MIN = {True: 0.5, False: 1.5}  # and at least this multiple of the shortest aim, for reads and writes
 CHECK, SILENT_ALIVE = 0.25, 1.5  # multiples of that aim: silence to probe at, and of one that answers probes
 PASSED = 200 * MS  # what was sent so much before another that was answered is lost rather than in a queue
 IDLE_WAITING, IDLE_HELD = 1.0, 0.8  # thousands of tokens, share of memory: under both no request has to wait
 STALE = 400 * MS  # how old such a report may be
+TOLD = 5 * SECOND  # how long the share of memory that a server told counts, fading
+SPREAD = 0.2  # drawn and added to a writer's cost, lest all who heard the same meet at one
 ERRORS, BRIEF = 2, 100 * MS  # failures in a row that make a server down; one that took longer does alone
+DOUBT, DOUBTED = 0.04, 0.45  # part of errors thought of an unknown server, and past which others come first
+DOUBT_COST = {Effect.SAFE: 1.0, Effect.KEYED: 1.0, Effect.UNSAFE: 8.0}  # that part's weight at a writer
 ASIDE, ASIDE_MOST = SECOND, 8 * SECOND  # a dead or silent server stays aside, doubled up to the most
 BEFORE, BETWEEN = 400 * MS, 400 * MS  # when it is probed before its return; least time between two probes
-COLD_PART = 0.5  # of what a cold server must stand, over all routers, at its start; all of it when warm
+COLD_PART = 0.8  # of what a cold server must stand, over all routers
 SWEEP = 50 * MS  # how often servers are looked over and waiting requests tried again
 RATE_SPAN = 5 * SECOND  # what came lately came in this; what was told counts for a half to all of it
 
@@ -73,11 +76,11 @@
         self.rows: dict[str, Row] = {}  # least lately used first
         self.cells: dict[tuple[tuple[bool, ...], bool], tuple[Mean, Mean]] = {}
         self.pairs = [None, *((tenant, name) for tenant in (None, *self.quotas) for name in self.classes)]
-        self.quick = {role: Mean() for role in Role}  # time to the first token of a state that was there
         self.stage = {True: Mean(), False: Mean()}  # a read's time, and a write's to its first token
         self.sends = {True: Rate(RATE_SPAN), False: Rate(RATE_SPAN)}  # reads and writes sent
         self.prompts = Mean()
         self.jam = Mean()  # what requests had to wait as they came, in aims
+        self.held = {role: Mean() for role in Role}  # shares of memory that servers told
         self.streams = Mean()  # our streams a writer
         self.places = {held: Rate(RATE_SPAN) for held in (True, False)}  # what came of askings for a place
         self.speed = 0.0  # tokens a second that a reader reads at its best
@@ -109,6 +112,8 @@
         even = len(self.live((Role.READ,))) / max(1, len(self.live((Role.WRITE,))))
         near = {cell: even * cells[Role.WRITE, cell] / max(1, cells[Role.READ, cell]) for _, cell in cells}
         own = {Role.READ: lambda cell: max(PAIRED, near[cell]), Role.BOTH: lambda cell: even / 2 or 1.0}
+        for server in self.servers.values():
+            server.credit = self.rng.random() if server.credit is None else server.credit
         self.ring = Ring((s, round(POINTS * min(1.0, own[s.role](s.entry.cell)))) for s in self.live(READERS))
 
     def watch(self) -> None:
@@ -144,8 +149,6 @@
         self.alive(attempt)
         self.waited(server, self.now - attempt.sent, attempt.unread)
         self.stage[False].add(self.now - attempt.sent, BLEND)
-        if self.settings.peers and server is job.place and job.near.entry.cell == server.entry.cell:
-            self.time_step(server, self.now - attempt.sent)
         self.cell(job)[0].add(self.now - job.arrived, BLEND)
 
     def on_place(self, event: api.Place) -> None:
@@ -164,7 +167,8 @@
 
         Guards against writers that others filled unseen. May harm where long reads leave places empty."""
         for server in self.writers(job)[:HOLDS] if self.settings.ahead and len(job.asked) < HOLDS else []:
-            if server not in job.asked and self.cold_room(server, False):
+            if server not in job.asked and self.cold_room(server):
+                server.credit = 0.0
                 job.asked.append(server)
                 self.actions.append(api.Hold(job.request.request, server.entry.server))
                 return
@@ -174,6 +178,7 @@
         if (attempt := self.servers.attempt(event)) is None:
             return None
         job, server, status = attempt.job, attempt.server, event.status
+        self.heed(event)
         attempt.drop()
         attempt.risky = not attempt.reads and status in RISKY
         attempt.failed = status in (*RISKY, Status.CONNECT_FAILED)
@@ -198,6 +203,13 @@
             self.release(job)
         return job
 
+    def heed(self, event: api.Outcome | api.Probed) -> None:
+        """Note the memory that a server reports as held: our own part of it tells too little."""
+        held = event.load.get(self.settings.held_told)
+        if held is not None and (server := self.servers.get(event.server)):
+            server.told_at, server.told_held = self.now, held
+            self.held[server.role].add(server.told_held, BLEND)
+
     def failed(self, server: Server, event: api.Outcome) -> None:
         """Hold a server to be down when it fails twice in a row, or breaks after a wait that hurts.
 
@@ -206,6 +218,7 @@
         if event.status is not Status.ERROR and event.note == api.KEPT:
             return
         server.errors += 1
+        server.bad.add(self.now, event.status is Status.ERROR)
         if server.errors >= ERRORS or (event.status is not Status.ERROR and event.elapsed > BRIEF):
             self.note(Symptom.DOWN, server)
 
@@ -250,20 +263,11 @@
         server = attempt.server
         server.passed = max(server.passed, attempt.sent - PASSED)
         server.heard, server.strikes, server.aside_until, server.errors = self.now, 0, 0, 0
+        server.good.add(self.now)
 
     def waited(self, server: Server, took: int, unread: int) -> None:
         server.lag, server.lag_at = took - self.reading_time(unread), self.now
 
-    def time_step(self, server: Server, took: int) -> None:
-        """Find a writer that slows, by the first token of a state that lay there already: a step or two.
-
-        Guards against servers that age and die with their streams; covers any writer slower than the others.
-        Only with peers to tell: a router alone learns of it too late, and a passing pause looks alike."""
-        usual = self.quick[server.role]
-        if took > (limit := SLOW * (usual.value or took)):
-            self.note(Symptom.SLOW, server)
-        usual.add(min(took, limit), BLEND)
-
     def note(self, symptom: Symptom, server: Server, pair: object = None, told: bool = False) -> None:
         """Heed what was met at a server, here or by a peer that told; tell all others what was met here.
 
@@ -273,8 +277,6 @@
         until = self.now + round(min(self.interval(server), most))
         if symptom is Symptom.FULL:
             server.full[pair] = max(server.full.get(pair, 0), until)
-        elif symptom is Symptom.SLOW:
-            server.slow_until = max(server.slow_until, until)
         else:
             self.strike(server, sure=True)
         if self.settings.peers and not told and pair in self.pairs:
@@ -288,10 +290,9 @@
             self.note(word.symptom, server, self.pairs[word.pair], told=True)
 
     def strike(self, server: Server, sure: bool, again: bool = False) -> bool:
-        """Set a server aside, longer each time in a row; later a single request tries it again.
+        """Set a server aside, longer each time in a row; just before its return it is probed.
 
-        Guards against dead and hung servers. Silence may be mere load: it takes at most half of a role. Just
-        before its return it is probed, lest a request be the one to find it still dead."""
+        Guards against dead and hung servers. Silence may be mere load: it takes at most half of a role."""
         live = self.live((server.role,))
         well = [s for s in live if self.now >= s.aside_until and s is not server]
         if (self.now < server.aside_until and not again) or not (sure or 2 * len(well) >= len(live)):
@@ -304,10 +305,9 @@
         return True
 
     def sweep(self) -> None:
-        """Find servers gone silent with work taken; drop idle rows; try waiting work.
+        """Find servers gone silent with work taken, hung or cut off; drop idle rows; try waiting work.
 
-        Guards against servers that hang or are cut off before the list tells. A long jam looks alike: so the
-        stage's mean learns from what is given up, and what may not be repeated is left to wait."""
+        A long jam looks alike: a stage's mean learns from what is given up; what may not run again waits."""
         waiting = [job for job in self.jobs.values() if not job.settled]
         for server in dict.fromkeys(attempt.server for job in waiting for attempt in job.out):
             if oldest := server.oldest:
@@ -336,8 +336,7 @@
 
     def probe(self, server: Server) -> None:
         """Ask a listed server for a sign of life, not again and again in one silence."""
-        listed = server.entry.server in self.servers
-        if self.settings.probes and listed and self.now - server.probed >= BETWEEN:
+        if self.settings.probes and server in self.servers.values() and self.now - server.probed >= BETWEEN:
             server.probed = self.now
             self.actions.append(api.Probe(server.entry.server))
 
@@ -348,6 +347,7 @@
         it reports that hardly anything waits, what we wait for there is lost, as its connection is silent."""
         if (server := self.servers.get(event.server)) is None:
             return
+        self.heed(event)
         if event.status in (Status.TIMEOUT, Status.CONNECT_FAILED):
             if self.now < server.aside_until:
                 self.strike(server, sure=True, again=True)
@@ -454,8 +454,9 @@
     def send(self, job: Job, server: Server, reads: bool) -> bool:
         """Send, unless a rule forbids it: the gate for drains, cold servers, attempts, copies and effects."""
         allowed = server.entry.state is State.LIVE and self.may_send(job, server)
-        if not (allowed and (server is job.place or self.cold_room(server, reads))):
+        if not (allowed and (server is job.place or self.cold_room(server))):
             return False
+        server.credit = server.credit if server is job.place else 0.0
         unread = self.unread(job, server) if job.state_at is None else 0
         held = 0 if reads else job.request.prompt + job.request.max_out
         Attempt(job, len(job.attempts), server, reads, held, unread, self.now).take()
@@ -466,24 +467,22 @@
             self.hold(job)
         return True
 
-    def cold_room(self, server: Server, reads: bool) -> bool:
-        """Give a cold server a part of a warm one's rate, from a random moment so that routers don't meet.
+    def cold_room(self, server: Server) -> bool:
+        """Tell whether a server is warm or has its turn: a part of a warm one's rate is paid in over time.
 
-        The part grows as it warms, which it does by what it serves. Guards against servers that come back in
-        a jam and stay nearly idle; may harm where one warms only at the end of its time."""
-        born, told = server.entry.born, self.settings
-        if not born or self.now >= born + told.cold or not told.fall_multiple:
+        Begun at random, lest routers meet. Guards against servers that come back in a jam and stay idle, as
+        they warm by what they serve; may harm where one warms late."""
+        told = self.settings
+        if server.warmth(self.now, told.cold) == 1 or not told.fall_multiple:
             return True
-        rate = self.sends[reads].add(self.now, 0) / len(self.live((server.role,)))
-        part = COLD_PART + (1 - COLD_PART) * (self.now - born) / told.cold
-        part *= min(1.0, told.cold_share * told.fall_multiple)
-        gap = round(RATE_SPAN / (rate * part)) if rate else told.cold
-        if server.next_cold is None:
-            server.next_cold = self.now + self.rng.randrange(gap + 1)
-        if self.now < server.next_cold:
-            return False
-        server.next_cold = self.now + gap
-        return True
+        sent = max(1.0, self.sends[server.role is Role.READ].add(self.now, 0))
+        part = COLD_PART * min(1.0, told.cold_share * told.fall_multiple) / len(self.live((server.role,)))
+        paid = (self.now - server.credit_at) * sent / RATE_SPAN * part
+        server.credit, server.credit_at = min(1.0, (server.credit or 0.0) + paid), self.now
+        return server.credit == 1
+
+    def due(self, server: Server) -> bool:  # a cold one's turn has come
+        return server.warmth(self.now, self.settings.cold) < 1 and self.cold_room(server)
 
     def late(self, job: Job) -> bool:
         """Tell, by the servers given work of late, whether waits make a request late; over-share ones first.
@@ -579,7 +578,7 @@
         """Decide on a later turn: give the writer that shall read it, or None for the reader path."""
         server = self.servers.get(job.row.writer) if job.row else None
         writers = self.usable(WRITERS, job.pair)
-        if server not in writers or job.row.at < server.kept_since:
+        if server not in writers or job.row.at < server.kept_since or server.doubt(self.now, DOUBT) > DOUBTED:
             return None
         busy = server.streams > BUSY_WRITER * max(1, median(s.streams for s in writers))
         if busy or job.new >= NEW_SHARE * job.request.prompt:
@@ -608,22 +607,30 @@
         slack = SPILL * job.cls.aim
         bound = max(slack / SECOND * self.speed / self.settings.routers, self.prompts.value or 0)
         room = [s for s in ring if s.waiting <= bound and self.delay(s) <= slack]
-        past = (s for s in ring if s not in room)
-        ends = {s: self.delay(s) + self.reading_time(s.waiting + self.unread(job, s)) for s in past}
-        failed = {attempt.server for attempt in job.attempts if attempt.failed}
-        return sorted(room + sorted(ends, key=ends.__getitem__), key=failed.__contains__)
+        past = [s for s in ring if s not in room]
+        failed = [a.server for a in job.attempts if a.failed]
+        short = slack * self.settings.cold_share  # what a cold one takes longer for comes no more in time
+        due = [s for s in room if self.due(s) and self.reading_time(self.unread(job, s)) < short]
+        past.sort(key=lambda s: self.delay(s) + self.reading_time(s.waiting + self.unread(job, s)))
+        return sorted(room + past, key=lambda s: (
+            s in failed or s.doubt(self.now, DOUBT) > DOUBTED, s not in due))
 
     def writers(self, job: Job) -> list[Server]:
         """Give the writers: a held place first, what failed or refused last, ties drawn lest all meet."""
         failed = {attempt.server for attempt in job.attempts if attempt.failed}
-        order = {s: (s is not job.place, s in failed, s in job.asked, self.cost(job, s), self.rng.random())
+        order = {s: (s is not job.place, s in failed, s in job.asked, self.cost(job, s))
                  for s in self.usable(WRITERS, job.pair)}
         return sorted(order, key=order.__getitem__)
 
     def cost(self, job: Job, server: Server) -> float:
-        """Weigh a writer: our part of its memory, its wait, and the state's move."""
+        """Weigh a writer: our part of its memory, its wait, the state's move, and the errors to expect.
+
+        Guards bookings against writers that fail fast, so seem idle: what may run again finds them out."""
         cost = server.held / server.memory if server.memory else float(server.streams)
-        cost += self.delay(server) / job.cls.aim + (OTHER_ZONE if self.now < server.slow_until else 0)
+        cost += self.delay(server) / job.cls.aim + self.rng.uniform(0, SPREAD)
+        cost += server.freshness(self.now, TOLD) * (server.told_held - (self.held[server.role].value or 0))
+        cost -= self.due(server)
+        cost += DOUBT_COST[job.cls.effect] * server.doubt(self.now, DOUBT)
         if job.near is None or job.near.entry.cell == server.entry.cell:
             return cost
         return cost + (OTHER_CELL if job.near.entry.zone == server.entry.zone else OTHER_ZONE)
--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -54,6 +54,9 @@
         return self.count
 
 
+LATELY = 20_000_000_000  # a server's answers count for this long, fading
+
+
 class Aged(Protocol):
     """What tells when it was last used."""
 
@@ -85,10 +88,14 @@
     idle_at: int = 0  # when such an answer told that hardly anything waits there, 0 if it told otherwise
     strikes: int = 0  # failures in a row
     errors: int = 0  # answers in a row that were errors, or could not be read
+    bad: Rate = field(default_factory=lambda: Rate(LATELY))  # such answers of late
+    good: Rate = field(default_factory=lambda: Rate(LATELY))  # reads done and answers begun of late
+    told_at: int = 0  # when it last told its load, in a report with an answer
+    told_held: float = 0.0  # the share of its memory that was held
     aside_until: int = 0
-    slow_until: int = 0
     full: dict[tuple[str | None, str], int] = field(default_factory=dict)  # until when, by tenant and class
-    next_cold: int | None = None  # when it may have its next send while cold
+    credit: float | None = None  # of a send to it while it is cold, paid in up to 1
+    credit_at: int = 0
     kept_since: int = 0  # what it kept before this is gone
     read_since: int = 0  # and what it read before this
     prefixes: dict[str, Rate] = field(default_factory=dict)  # what it read of shared beginnings
@@ -96,12 +103,26 @@
     def renew(self, entry: Entry, role: Role, now: int) -> None:
         """Take a line of the list in; a restarted server is cold and keeps nothing."""
         if entry.born > self.entry.born:
-            self.next_cold, self.kept_since, self.read_since = None, now, now
-            self.strikes = self.aside_until = self.slow_until = self.lag = 0
+            self.credit, self.credit_at, self.kept_since, self.read_since = None, now, now, now
+            self.strikes = self.aside_until = self.lag = self.told_at = 0
+            self.bad.count = self.good.count = 0.0
             self.prefixes.clear()
             self.full.clear()
         self.entry, self.role = entry, role
 
+    def doubt(self, now: int, before: float) -> float:
+        """Guess the part of its answers that are errors, from those of late and what was thought before."""
+        bad, good = self.bad.add(now, 0), self.good.add(now, 0)
+        return (bad + before) / (bad + good + 1)
+
+    def freshness(self, now: int, span: int) -> float:
+        """Give what its last load report still counts: 1 when it comes, nothing after the span."""
+        return max(0.0, 1 - (now - self.told_at) / span) if self.told_at else 0.0
+
+    def warmth(self, now: int, span: int) -> float:
+        """Give how far its time to warm up has run, 1 where it is warm."""
+        return min(1.0, (now - self.entry.born) / span) if self.entry.born and span else 1.0
+
     def forget(self, now: int) -> None:
         """Take all that it read as lost; what is out there has to be read whole."""
         self.read_since = now
@@ -183,7 +204,7 @@
                 del self[key]
         for entry in entries:
             kind = self.kinds[entry.kind]
-            server = self.setdefault(entry.server, Server(entry, kind.role, kind.memory or 0))
+            server = self.setdefault(entry.server, Server(entry, kind.role, kind.memory or 0, credit_at=now))
             server.renew(entry, kind.role, now)
         live = [server for server in self.values() if server.entry.state is State.LIVE]
         self.by_role = {role: [server for server in live if server.role is role] for role in Role}
--- a/hoplane/decision/words.py
+++ b/hoplane/decision/words.py
@@ -14,7 +14,6 @@
     """What a router has met at a server."""
 
     DOWN = 1  # it refused the connection or broke it
-    SLOW = 2
     FULL = 3  # for a tenant and class
 
 
