--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,7 @@
 """The program on the platform's protocol, as clients, endpoints and discovery see it."""
 
 import asyncio
+import json
 import signal
 from contextlib import asynccontextmanager, suppress
 
@@ -275,6 +276,37 @@
     run(test())
 
 
+def test_one_of_many_keeps_its_turn_at_a_discovery_that_is_slow(tmp_path):
+    """Guards against calls given up and made anew, which hold an overbooked discovery down for all."""
+    async def test():
+        async with desk(tmp_path, settings={**SETTINGS, "balancers": 40}) as program:
+            async def slow(call, writer):
+                await asyncio.sleep(1.2)
+                body = {"index": 9, "endpoints": [{**program.entries[0], "status": "Gone"}]}
+                writer.write(message("HTTP/1.1 200 OK", json.dumps(body).encode()))
+
+            program.discovery.play = slow
+            await program.line("endpoints")
+            await program.discovery.wait_for("GET /registry/instances?since=9")
+            assert not program.discovery.closed.qsize(), "no call was given up"
+
+    run(test())
+
+
+def test_what_a_request_costs_the_fleet_is_counted(tmp_path):
+    async def test():
+        async with desk(tmp_path) as program:
+            await program.ask(chat())
+            await program.writer.wait_for("POST /v1/holds/r1")
+            program.process.send_signal(signal.SIGTERM)
+            counts = await program.line("stopped")
+            wanted = {"asked": 1, "reads": 1, "writes": 1, "holds": 1, "ended_miss": 1, "ended_ok": 1}
+            assert {name: counts.get(name) for name in wanted} == wanted
+            assert counts["connections"] >= 3 and counts["cpu_ms"] > 0
+
+    run(test())
+
+
 def test_discovery_that_goes_and_comes_back_is_heard_again(tmp_path):
     async def test():
         async with desk(tmp_path) as program:
