--- a/hoplane/__init__.py
+++ b/hoplane/__init__.py
@@ -4,4 +4,4 @@
 from hoplane.decision.rules import Router
 
 __all__ = ["Router", "Settings"]
-__version__ = "0.3.0"
+__version__ = "0.4.0"
