Take the listening socket that the platform hands over in EDGE_SOCKET_FD

A second process starts beside the first with the same client address; binding it again fails while the first listens.

--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -4,7 +4,7 @@
 
 import tomllib
 from collections.abc import Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from pathlib import Path
 
@@ -72,10 +72,11 @@
     ledger_most: int = 50_000  # ids that must not run twice, and how long they are remembered
     ledger_keep: timedelta = timedelta(minutes=10)
     files: tuple[Path, ...] = ()  # clusters and endpoints in xDS form, for the v2 front
+    inherited: int | None = None  # a listening socket held by the platform, as descriptor `EDGE_SOCKET_FD`
 
 
 RELOADED = ("discovery", "files", "limits")  # what a reload puts in force; the rest waits for a start
-IGNORED = ("seed", "known")  # what is new with each start, and of no use to a reload
+IGNORED = ("seed", "known", "inherited")  # what is new with each start, and of no use to a reload
 
 
 def load(environ: Mapping[str, str], file: Path | None = None, again: bool = False) -> Config:
@@ -92,7 +93,16 @@
         # Guards against an environment as old as the process, which must not hide a reload's new address.
         if environ.get(name) and not (again and key in RELOADED):
             raw[key] = environ[name]
-    return platform(raw)
+    return replace(platform(raw), inherited=descriptor(environ.get("EDGE_SOCKET_FD")))
+
+
+def descriptor(value: str | None) -> int | None:
+    """Give the number of an inherited descriptor, where one is named."""
+    if value is None or value == "":
+        return None
+    if not (value.isascii() and value.isdecimal()) or len(value) > 6:
+        raise ConfigError("EDGE_SOCKET_FD: must be the number of a descriptor")
+    return int(value)
 
 
 def platform(raw: dict) -> Config:
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -320,8 +320,12 @@
         self.pre_shutdown()
 
 
-def listening(host: str, port: int) -> socket.socket:
-    """Give a socket bound to an address, not yet listening."""
+def listening(host: str, port: int, inherited: int | None = None) -> socket.socket:
+    """Give a socket bound to an address: the one inherited where there is one, else a new one."""
+    if inherited is not None:
+        made = socket.socket(fileno=inherited)
+        made.setblocking(False)
+        return made
     made = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET)
     made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     made.setblocking(False)
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -149,7 +149,9 @@
     async def start(self) -> None:
         # Guards against a flood of connections that takes all descriptors at once: the loop accepts as many
         # in a row as its backlog says, before any that we close is gone, and waits a second if it runs out.
-        made = listening(*self.config.listen)
+        # Guards against a second process beside the first at an upgrade, which cannot bind the address again:
+        # the platform holds the socket, and both take connections from it.
+        made = listening(*self.config.listen, inherited=self.config.inherited)
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(self.door, sock=made, backlog=ACCEPT_MOST)
         made.listen(BACKLOG)
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -194,9 +194,9 @@
 
 
 @asynccontextmanager
-async def started(*arguments, address, **environ):
+async def started(*arguments, address, pass_fds=(), **environ):
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "hoplane", *arguments,
+        sys.executable, "-m", "hoplane", *arguments, pass_fds=pass_fds,
         env={**os.environ, **environ}, stderr=asyncio.subprocess.PIPE, limit=1 << 20,
     )
     program = Program(process, address)
@@ -210,16 +210,17 @@
 
 
 @asynccontextmanager
-async def platform(tmp_path, entries, **changes):
+async def platform(tmp_path, entries, address=None, environ=None, pass_fds=(), **changes):
     """Start the program as the platform does, before a discovery that lists the entries."""
-    address = f"127.0.0.1:{free_port()}"
+    address = address or f"127.0.0.1:{free_port()}"
     async with Discovery(entries) as discovery:
         told = {"name": "n1", "listen": address, "discovery": discovery.address, "seed": "8c1f",
                 "limits": {"memory_mb": 192, "sockets": 1024}, "settings": SETTINGS,
                 "known": {"index": 0, "snapshot": True, "endpoints": entries}, **changes}
         file = tmp_path / "config.json"
         file.write_text(json.dumps(told))
-        async with started(address=address, EDGE_CONFIG=str(file)) as program:
+        environ = {"EDGE_CONFIG": str(file), **(environ or {})}
+        async with started(address=address, pass_fds=pass_fds, **environ) as program:
             program.discovery, program.file, program.told = discovery, file, told
             yield program
 
