Answer HEALTH, DUMP, LEAVE and JOIN at an operator address, from figures the core keeps

- HEALTH: Server.ready, false while starting, draining or stopping; GET /health/ready says the same.
- LEAVE/JOIN: a drain in net/server.py.
Every answer closes its connection from the no on; idle ones close 0.3 s after it, when the front has stopped sending new ones, and then every 50 ms; a connection with bytes that the loop has not read yet is left open (aio.unread peeks at the socket), so the close crosses no request.
- DUMP: core/figures.py, counted by the reducer (refusals, failures, answers whole or broken, attempts whose bytes went out, `Ended.written`), and requests that a front answers by itself (`Turned`); `current`, `cluster_size` and `cluster_unhealthy` are read from the state at the call.
- At SIGTERM, where the socket is inherited, the listener closes at once: the process beside takes what comes.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -19,6 +19,7 @@
 from hoplane.config import Config, ConfigError
 from hoplane.core.pacing import Pacing
 from hoplane.fronts import kserve, platform
+from hoplane.fronts.operator import Operator
 from hoplane.net import signals
 from hoplane.net.discovery import Discovery
 from hoplane.net.pool import Pool
@@ -35,6 +36,30 @@
         self.pool = Pool(config)
         self.front, self.watch = self.beside() if config.files else self.on_platform()
         self.watching = asyncio.create_task(self.watch.watch())
+        server = self.front.server
+        self.operator = config.operator and Operator(
+            config.operator, self.unready, self.figures, server.leave, server.join
+        )
+
+    def unready(self) -> str | None:
+        """Tell why this process does not take new clients, None where it does."""
+        server = self.front.server
+        if server.ready:
+            return None
+        return "stopping" if server.stopping else "draining" if server.leaving is not None else "starting"
+
+    def figures(self) -> dict[str, object]:
+        """Give the figures of the conductors of this process, summed where there are several."""
+        figures: dict = {"transactions": {}, "current": 0, "cluster_size": 0, "cluster_unhealthy": 0}
+        for runtime in self.front.runtimes:
+            each = runtime.figures()
+            for cls, counts in each.pop("transactions").items():
+                mine = figures["transactions"].setdefault(cls, dict.fromkeys(counts, 0))
+                for name, value in counts.items():
+                    mine[name] += value
+            for name, value in each.items():
+                figures[name] = figures.get(name, 0) + value
+        return figures
 
     def on_platform(self) -> tuple[platform.Platform, Discovery]:
         """Put the platform's front and its discovery together."""
@@ -91,6 +116,8 @@
         """Serve until a signal asks for the end, and then to the end of what was taken."""
         stop = asyncio.Event()
         await self.front.server.start()
+        if self.operator:
+            await self.operator.start()
         signals.heed(stop.set, self.reload)
         gc.collect()
         gc.freeze()  # what lives from the start to the end need not be looked at again and again
@@ -99,6 +126,8 @@
         await stop.wait()
         log.say("stopping", open=self.front.server.open)
         await self.front.server.stop()
+        if self.operator:
+            self.operator.stop()
         for runtime in self.front.runtimes:
             await runtime.rest()
         signals.ignore_reload()
--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -65,6 +65,7 @@
     seed: int
     limits: Limits
     discovery: tuple[str, int] | None = None
+    operator: tuple[str, int] | None = None  # the operator's address, see fronts/operator.py
     known: dict = field(default_factory=dict)
     connect_timeout: timedelta = timedelta(milliseconds=250)
     conn_idle: timedelta = timedelta(seconds=15)
@@ -89,7 +90,11 @@
         raise ConfigError(f"EDGE_CONFIG: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError("EDGE_CONFIG: must be an object")
-    for key, name in (("name", "EDGE_NAME"), ("listen", "EDGE_LISTEN"), ("discovery", "EDGE_DISCOVERY")):
+    names = (
+        ("name", "EDGE_NAME"), ("listen", "EDGE_LISTEN"), ("discovery", "EDGE_DISCOVERY"),
+        ("operator", "EDGE_OPERATOR"),
+    )
+    for key, name in names:
         # Guards against an environment as old as the process, which must not hide a reload's new address.
         if environ.get(name) and not (again and key in RELOADED):
             raw[key] = environ[name]
@@ -113,6 +118,7 @@
         name=text(raw, "name"),
         listen=address(raw, "listen"),
         discovery=address(raw, "discovery"),
+        operator=address(raw, "operator") if raw.get("operator") else None,
         settings=settings(told, "settings."),
         seed=seed(raw.get("seed", 0)),
         limits=limits(group(raw, "limits")),
@@ -135,6 +141,7 @@
     return Config(
         name=text(raw, "name"),
         listen=address(raw, "listen"),
+        operator=address(raw, "operator") if raw.get("operator") else None,
         settings=settings(told, "settings."),
         seed=seed(raw.get("seed", 0)),
         limits=limits(group(raw, "limits")),
--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -69,6 +69,7 @@
     status: Status
     note: int = 0
     load: dict[str, float] = field(default_factory=dict)
+    written: bool = True  # whether its last byte may have been written to the endpoint
 
 
 @dataclass(slots=True, frozen=True)
@@ -105,7 +106,15 @@
     whole: bool
 
 
-Event = Asked | Left | Began | Ended | HoldAnswered | Probed | Due | Listed
+@dataclass(slots=True, frozen=True)
+class Turned:
+    """A request of a class that the front answered itself, before the reducer took it: refused or failed."""
+
+    cls: str
+    refused: bool
+
+
+Event = Asked | Left | Began | Ended | HoldAnswered | Probed | Due | Listed | Turned
 
 
 # --- effects
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -9,6 +9,7 @@
 
 from hoplane.core import events as ev
 from hoplane.core.border import to_ns, to_span
+from hoplane.core.figures import Figures
 from hoplane.core.ledger import Ledger
 from hoplane.decision import interface as api
 from hoplane.decision.interface import Status
@@ -58,6 +59,7 @@
     requests: dict[str, Request] = field(default_factory=dict)
     numbers: dict[str, int] = field(default_factory=dict)  # the module's server numbers, by name
     fleet: dict[int, ev.Endpoint] = field(default_factory=dict)
+    figures: Figures = field(default_factory=Figures)
 
     def number(self, name: str) -> int:
         """Give an endpoint's number: the same at every conductor, as the module's ring hashes it."""
@@ -95,9 +97,11 @@
     """Take a request, unless its id is in use or may have run."""
     once = event.once
     if event.id in state.requests or (once and state.ledger.clashes(once, now)):
+        state.figures.count(event.cls, "errored")
         yield ev.Fail(event.id, "its id is running or may have run", clash=True)
         return
     if once and state.ledger.full:
+        state.figures.count(event.cls, "deferred")
         yield ev.Refuse(event.id, timedelta(seconds=1), "the ledger of ids is full")
         return
     if once:
@@ -147,6 +151,10 @@
     if status is Status.CANCELLED and attempt.abandoned is not None:
         status = attempt.abandoned
     attempt.over = True
+    if event.written and status not in (Status.CONNECT_FAILED, Status.MOOT):
+        state.figures.count(request.asked.cls, "sends")
+    if attempt.began:
+        state.figures.count(request.asked.cls, "answered" if status is Status.OK else "errored")
     if attempt.began or status is Status.OK:
         request.closed = True
     if attempt.reads and status in MAY_HAVE_RUN:
@@ -222,9 +230,16 @@
     yield from decide(state, now, api.Fleet(entries, event.whole))
 
 
+def on_turned(state: Conductor, now: timedelta, event: ev.Turned) -> Iterator[ev.Effect]:
+    """Count what a front answered by itself."""
+    state.figures.count(event.cls, "deferred" if event.refused else "errored")
+    yield from ()
+
+
 HANDLERS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
     ev.Asked: on_asked, ev.Left: on_left, ev.Began: on_began, ev.Ended: on_ended,
     ev.HoldAnswered: on_hold_answered, ev.Probed: on_probed, ev.Due: on_due, ev.Listed: on_listed,
+    ev.Turned: on_turned,
 }
 
 
@@ -292,6 +307,7 @@
     request = state.requests.get(action.request)
     if request is not None and not request.closed:
         request.closed = True
+        state.figures.count(request.asked.cls, "deferred")
         yield ev.Refuse(action.request, to_span(action.pause), "given up by the module")
 
 
@@ -300,6 +316,7 @@
     request = state.requests.get(action.request)
     if request is not None and not request.closed:
         request.closed = True
+        state.figures.count(request.asked.cls, "errored")
         yield ev.Fail(action.request, "it may have run and may not run again, or its time is over")
 
 
--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -227,7 +227,7 @@
         if path.endswith("/live"):
             return answer({"live": True})
         if path.endswith("/ready"):
-            ready = not self.server.stopping and any(map(self.ready, self.models.values()))
+            ready = self.server.ready and any(map(self.ready, self.models.values()))
             return answer({"ready": ready}, 200 if ready else 503)
         return answer({"name": "hoplane", "version": __version__, "extensions": ["binary_tensor_data"]})
 
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from hoplane.config import Config
-from hoplane.core.events import Asked, Endpoint, Forward, Left, Listed
+from hoplane.core.events import Asked, Endpoint, Forward, Left, Listed, Turned
 from hoplane.decision.interface import Settings, State, Status
 from hoplane.net.runtime import Runtime
 from hoplane.net.server import MARGIN, Relay, Server, StreamSink, problem, retry_after, target
@@ -166,7 +166,7 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
         if request.path == READY:
-            return web.Response(status=503 if self.server.stopping else 200)
+            return web.Response(status=200 if self.server.ready else 503)
         if request.path != CHAT:
             return problem(404, "unknown path", close=True)
         if request.method != "POST":
@@ -177,12 +177,17 @@
             return problem(400, str(error), close=True)
         size = self.server.size(request)
         if not self.server.bodies.take(size):
-            return self.busy()
+            return self.turned(asked, self.busy())
         try:
             return await self.chat(request, asked)
         finally:
             self.server.bodies.give(size)
 
+    def turned(self, asked: Asked, response: web.Response) -> web.Response:
+        """Answer a request that the reducer never took, and let the core count it."""
+        self.runtime.feed(Turned(asked.cls, response.status in (429, 503)))
+        return response
+
     def busy(self) -> web.Response:
         """Refuse before a limit is met."""
         response = web.Response(status=503, headers={"Retry-After": "1"}, text="too much at once\n")
@@ -193,19 +198,19 @@
         """Take a request in and wait for its final answer."""
         body = await self.server.read(request)
         if isinstance(body, web.Response):
-            return body
+            return self.turned(asked, body)
         try:
             if not isinstance(orjson.loads(body), dict):
-                return problem(400, "the body must be a JSON object", close=True)
+                return self.turned(asked, problem(400, "the body must be a JSON object", close=True))
         except orjson.JSONDecodeError:
-            return problem(400, "the body is not JSON", close=True)
+            return self.turned(asked, problem(400, "the body is not JSON", close=True))
         runtime = self.runtime
         if asked.id in runtime.exchanges:
-            return problem(409, "this id is in use")
+            return self.turned(asked, problem(409, "this id is in use"))
         if len(runtime.exchanges) >= self.config.max_open:
-            return self.busy()
+            return self.turned(asked, self.busy())
         exchange = runtime.exchanges[asked.id] = Exchange(request, asked, body)
-        if self.server.stopping:
+        if self.server.stopping or self.server.leaving is not None:
             exchange.response.force_close()
         try:
             runtime.feed(asked)
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -308,9 +308,11 @@
         return self._loop.time() if caller.served else caller.since
 
     def drop_idle(self) -> None:
-        """Close the connections that carry no request."""
+        """Close the connections that carry no request, and on which none has come unread.
+
+        Guards against a close that crosses a request on its way: what the system holds is looked at first."""
         for connection in self.connections:
-            if connection.idle:
+            if connection.idle and not unread(connection.transport):
                 # Guards against idle connections that stay open: aiohttp's close() ends their task alone.
                 connection.force_close()
 
@@ -320,6 +322,20 @@
         self.pre_shutdown()
 
 
+def unread(transport: asyncio.BaseTransport | None) -> bool:
+    """Tell whether bytes have come on a connection that the loop has not read yet."""
+    raw = transport and transport.get_extra_info("socket")
+    if raw is None:
+        return False
+    probe = socket.socket(fileno=raw.fileno())
+    try:
+        return bool(probe.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+    except OSError:
+        return False
+    finally:
+        probe.detach()
+
+
 def listening(host: str, port: int, inherited: int | None = None) -> socket.socket:
     """Give a socket bound to an address: the one inherited where there is one, else a new one."""
     if inherited is not None:
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -6,6 +6,7 @@
 from collections import deque
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
+from dataclasses import replace
 from datetime import timedelta
 
 import aiohttp
@@ -13,6 +14,8 @@
 from hoplane import log
 from hoplane.config import Config
 from hoplane.core import events as ev
+from hoplane.core.border import to_ns
+from hoplane.core.figures import dump
 from hoplane.core.ledger import Ledger
 from hoplane.core.reducer import Conductor, reduce
 from hoplane.decision.interface import KEPT, Status
@@ -102,6 +105,10 @@
         finally:
             self.busy = False
 
+    def figures(self) -> dict[str, object]:
+        """Give the figures that the core keeps, for the operator."""
+        return dump(self.state, to_ns(self.clock.now()))
+
     def count(self, what: ev.Event | ev.Effect) -> None:
         """Count what the fleet pays for, and how each attempt and place asked for ended."""
         if name := COUNTED.get(type(what)):
@@ -166,11 +173,15 @@
         outcome the module would wait for ever, and what is held would stay."""
         key = effect.id, effect.attempt
         del self.attempts[key]
-        self.sent.pop(key).set()
+        sent = self.sent.pop(key)
+        written = sent.is_set()
+        sent.set()
         if task.cancelled():
-            self.feed(ev.Ended(*key, Status.CANCELLED))
+            self.feed(ev.Ended(*key, Status.CANCELLED, written=written))
+        elif task.exception():
+            self.feed(ev.Ended(*key, Status.ERROR, written=written))
         else:
-            self.feed(ev.Ended(*key, Status.ERROR) if task.exception() else task.result())
+            self.feed(replace(task.result(), written=written))
 
     async def play(self, effect: ev.Forward, exchange: Exchange) -> ev.Ended:
         """Send the request, and pass its answer on where there is one."""
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -18,6 +18,8 @@
 MARGIN = timedelta(milliseconds=20)  # of a client's patience, for the answer's way and a busy loop
 RETURN = timedelta(milliseconds=200)  # the least that a refused client is asked to stay away
 LAST = timedelta(seconds=2)  # for the last bytes to leave
+LEAVE_IDLE = timedelta(seconds=0.3)  # then idle connections close in a drain: new ones go elsewhere by then
+SWEEP = timedelta(milliseconds=50)  # how often connections that became idle are closed while draining
 ACCEPT_MOST, BACKLOG = 16, 512  # connections accepted in a row, and those that may wait for it
 
 EVENT_MOST = 64 * 1024  # bytes of one event
@@ -135,6 +137,8 @@
         self.config, self.handler, self.problem = config, handler, problem
         self.bodies = Bodies(config.limits.bodies)
         self.stopping = False
+        self.leaving: float | None = None  # when the drain began, on the loop's clock
+        self.draining: asyncio.Task | None = None
         self.open = 0
         self.door = Door(
             self.handle, problem, config.limits.clients, config.limits.turned_away, BODY_MOST
@@ -156,8 +160,33 @@
         self.listener = await loop.create_server(self.door, sock=made, backlog=ACCEPT_MOST)
         made.listen(BACKLOG)
 
+    @property
+    def ready(self) -> bool:
+        """Tell whether new clients are welcome."""
+        return self.listener is not None and not self.stopping and self.leaving is None
+
+    def leave(self) -> None:
+        """Begin a drain: say no to the front, and end each connection with its answer or while it is idle."""
+        if self.leaving is None:
+            self.leaving = asyncio.get_running_loop().time()
+            self.draining = asyncio.get_running_loop().create_task(self.drain())
+
+    def join(self) -> None:
+        """End a drain: take clients again."""
+        self.leaving = None
+        if self.draining is not None:
+            self.draining.cancel()
+            self.draining = None
+
+    async def drain(self) -> None:
+        """Close idle connections once the front has heard the no, and any that become idle later."""
+        await asyncio.sleep(LEAVE_IDLE.total_seconds())
+        while True:
+            self.door.drop_idle()
+            await asyncio.sleep(SWEEP.total_seconds())
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Serve a request; while we stop, its connection ends with its answer."""
+        """Serve a request; while we stop or drain, its connection ends with its answer."""
         self.open += 1
         try:
             response = await self.handler(request)
@@ -167,7 +196,7 @@
             response = self.problem(500, "a fault of the conductor")
         finally:
             self.open -= 1
-        if self.stopping and not response.prepared:
+        if self.stopping or self.leaving is not None:
             response.force_close()
         return response
 
@@ -196,14 +225,19 @@
     async def stop(self) -> None:
         """Take what still comes for a moment, then close what is idle and wait for the rest."""
         self.stopping = True
-        await asyncio.sleep(LINGER.total_seconds())
+        self.join()
+        # Where the platform holds the socket, the process beside us takes what comes: we may close at once.
+        if self.config.inherited is None:
+            await asyncio.sleep(LINGER.total_seconds())
         self.listener.close()
         self.door.wind_up()
         while self.open:
             await asyncio.sleep(0.005)
+            self.door.drop_idle()
         end = asyncio.get_running_loop().time() + LAST.total_seconds()
         while self.door.connections and asyncio.get_running_loop().time() < end:
             await asyncio.sleep(0.005)
+            self.door.drop_idle()
 
 
 def target(request: web.BaseRequest) -> str:
