--- a/hoplane/core/figures.py
+++ b/hoplane/core/figures.py
@@ -6,7 +6,7 @@
 
 from hoplane.decision.interface import State
 
-COUNTS = ("answered", "deferred", "errored", "sends")
+COUNTS = ("answered", "deferred", "errored")  # requests of each class, by their final answer
 
 
 @dataclass(slots=True)
@@ -14,11 +14,12 @@
     """What the reducer counts; counting starts from 0 in each process."""
 
     transactions: dict[str, dict[str, int]] = field(default_factory=dict)
+    sends: int = 0  # attempts written whole to endpoints, of all classes
     conf_loaded: int = 0
     conf_invalid: int = 0
 
     def count(self, cls: str, what: str) -> None:
-        """Count one of a class: a request served, refused or failed, or an attempt written whole."""
+        """Count a request of a class: served, refused or failed."""
         if (counts := self.transactions.get(cls)) is None:
             counts = self.transactions[cls] = dict.fromkeys(COUNTS, 0)
         counts[what] += 1
@@ -42,6 +43,7 @@
     figures = state.figures
     return {
         "transactions": {cls: dict(counts) for cls, counts in figures.transactions.items()},
+        "sends": figures.sends,
         "current": current,
         "cluster_size": len(state.fleet),
         "cluster_unhealthy": unhealthy,
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -151,8 +151,8 @@
     if status is Status.CANCELLED and attempt.abandoned is not None:
         status = attempt.abandoned
     attempt.over = True
-    if event.written and status not in (Status.CONNECT_FAILED, Status.MOOT):
-        state.figures.count(request.asked.cls, "sends")
+    if event.written and status is not Status.CONNECT_FAILED:
+        state.figures.sends += 1
     if attempt.began:
         state.figures.count(request.asked.cls, "answered" if status is Status.OK else "errored")
     if attempt.began or status is Status.OK:
--- a/hoplane/fronts/operator.py
+++ b/hoplane/fronts/operator.py
@@ -3,7 +3,7 @@
 | call | answer |
 | --- | --- |
 | `HEALTH` | `+OK ready` while this process serves new clients, else `-ERR` and why not |
-| `DUMP` | `+OK`, the figures as one JSON line, and a line `.` |
+| `DUMP` | the figures as one JSON line, and a line `.` |
 | `LEAVE` | `+OK leaving`: the conductor empties itself, see `net/server.py` |
 | `JOIN` | `+OK joined`: it takes clients again |
 
@@ -51,22 +51,23 @@
             line.end()
 
     def answer(self, call: bytes) -> bytes:
-        """Give the answer to one call, with its line ends."""
+        """Give the answer to one call, with its line ends, which are CRLF as the calls' are."""
         word = call.strip().upper()
         if word == b"HEALTH":
             why = self.ready()
-            return b"+OK ready\n" if why is None else f"-ERR {why}\n".encode()
+            return b"+OK ready\r\n" if why is None else f"-ERR {why}\r\n".encode()
         if word == b"DUMP":
-            return b"+OK\n" + orjson.dumps(self.figures()) + b"\n.\n"
+            # The figures stand alone before the line `.`: a reader takes what is above it for JSON.
+            return orjson.dumps(self.figures()) + b"\r\n.\r\n"
         if word == b"LEAVE":
             self.leave()
             log.say("operator", call="LEAVE")
-            return b"+OK leaving\n"
+            return b"+OK leaving\r\n"
         if word == b"JOIN":
             self.join()
             log.say("operator", call="JOIN")
-            return b"+OK joined\n"
-        return b"-ERR unknown call\n"
+            return b"+OK joined\r\n"
+        return b"-ERR unknown call\r\n"
 
 
 class Line(asyncio.Protocol):
@@ -79,7 +80,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:
         self.transport = transport
         loop = asyncio.get_running_loop()
-        self.timer = loop.call_later(WAIT.total_seconds(), self.reply, b"-ERR no whole line\n")
+        self.timer = loop.call_later(WAIT.total_seconds(), self.reply, b"-ERR no whole line\r\n")
         self.front.open[self] = None
         if len(self.front.open) > OPEN_MOST:
             next(iter(self.front.open)).end()
@@ -94,10 +95,10 @@
                 answer = self.front.answer(line)
             except Exception as error:  # guards the loop: a fault of ours is told, not left to wait
                 log.say("operator_broke", error=repr(error))
-                answer = b"-ERR a fault of the conductor\n"
+                answer = b"-ERR a fault of the conductor\r\n"
             self.reply(answer)
         elif len(self.data) > LINE_MOST:
-            self.reply(b"-ERR the line is too long\n")
+            self.reply(b"-ERR the line is too long\r\n")
 
     def eof_received(self) -> bool:
         """Take a call without its line end as whole once its sender has ended its sending."""
