Retune at SIGHUP: new settings for new requests, open ones keep theirs, bad files refused

A file with a deadline of 0 or a string, or one that lacks a key, has to be turned down whole.

Design: the reducer takes a `Reloaded` event; with settings it puts them in its state and in the module's (`decision/state.retune`: settings, classes, quotas, words' pairs; the list, what was learnt, and timers stay), with None it counts a file turned down. A request keeps what it came under: the module's Job and the reducer's Request hold their attempts, and the reducer's Request whether it may run twice. Kinds wait for a start. Not taken: a new Router for each file, which would forget every endpoint's state and the sessions' rows at each reload, and leave two routers to share one fleet while old requests end.

Checks in config.py: lanes must be a list; each class's target and hard_limit, and attempts_cap, must be numbers above 0 as the file writes them (flattening for the wire turned "5000" into a number); a file read anew must hold every key of the one in force, but seed and known. The platform's and the v2 front's classes are the new ones.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -17,6 +17,7 @@
 from hoplane import config as configuration
 from hoplane import log, xds
 from hoplane.config import Config, ConfigError
+from hoplane.core.events import Reloaded
 from hoplane.core.pacing import Pacing
 from hoplane.fronts import kserve, platform
 from hoplane.fronts.operator import Operator
@@ -31,7 +32,7 @@
 class Conductor:
     """One conductor at work: its front, its watch and what a reload changes."""
 
-    def __init__(self, config: Config, again: Callable[[], Config]) -> None:
+    def __init__(self, config: Config, again: Callable[[Config], Config]) -> None:
         self.config, self.again = config, again
         self.pool = Pool(config)
         self.front, self.watch = self.beside() if config.files else self.on_platform()
@@ -58,7 +59,9 @@
                 for name, value in counts.items():
                     mine[name] += value
             for name, value in each.items():
-                figures[name] = figures.get(name, 0) + value
+                # A file is read once for all models: its counts are the same at each.
+                together = max if name.startswith("conf_") else int.__add__
+                figures[name] = together(figures.get(name, 0), value)
         return figures
 
     def on_platform(self) -> tuple[platform.Platform, Discovery]:
@@ -89,21 +92,25 @@
 
         Guards against a watch that stays with an address that discovery has left."""
         try:
-            new = self.again()
+            new = self.again(self.config)
             watch = self.watch.moved(new)
         except ConfigError as error:
             log.say("reload_failed", error=str(error))
+            for runtime in self.front.runtimes:
+                runtime.feed(Reloaded(None))
             return
         self.watching.cancel()
         self.watch, self.watching = watch, asyncio.create_task(watch.watch())
         self.front.server.resize(new.limits)
         self.pool.most = new.limits.upstreams
+        self.front.retune(new.settings)
         known = (*configuration.RELOADED, *configuration.IGNORED)
         wait = [
             name for name in (field.name for field in fields(new))
             if name not in known and getattr(self.config, name) != getattr(new, name)
         ]
-        self.config = replace(self.config, **{name: getattr(new, name) for name in configuration.RELOADED})
+        taken = {name: getattr(new, name) for name in configuration.RELOADED}
+        self.config = replace(self.config, told=new.told, **taken)
         log.say("reloaded", watch=str(watch), at_next_start=wait)
 
     async def tidy(self) -> None:
@@ -137,7 +144,7 @@
         log.say("stopped", **self.pool.tally.line())
 
 
-async def serve(config: Config, again: Callable[[], Config]) -> None:
+async def serve(config: Config, again: Callable[[Config], Config]) -> None:
     """Serve to the end."""
     asyncio.get_running_loop().set_exception_handler(
         lambda loop, told: log.say("loop_fault", text=told["message"], error=repr(told.get("exception")))
@@ -154,7 +161,7 @@
     signals.ignore_reload()
     try:
         config = configuration.load(os.environ, file)
-        asyncio.run(serve(config, lambda: configuration.load(os.environ, file, again=True)))
+        asyncio.run(serve(config, lambda before: configuration.load(os.environ, file, before)))
     except ConfigError as error:
         log.say("bad_configuration", error=str(error))
         return 2
--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -74,22 +74,31 @@
     ledger_keep: timedelta = timedelta(minutes=10)
     files: tuple[Path, ...] = ()  # clusters and endpoints in xDS form, for the v2 front
     inherited: int | None = None  # a listening socket held by the platform, as descriptor `EDGE_SOCKET_FD`
+    told: dict = field(default_factory=dict, compare=False, repr=False)  # the file as it was read
 
 
-RELOADED = ("discovery", "files", "limits")  # what a reload puts in force; the rest waits for a start
-IGNORED = ("seed", "known", "inherited")  # what is new with each start, and of no use to a reload
+RELOADED = ("discovery", "files", "limits", "settings")  # what a reload puts in force; the rest waits
+IGNORED = ("seed", "known", "inherited", "told")  # what is new with each start, and of no use to a reload
 
 
-def load(environ: Mapping[str, str], file: Path | None = None, again: bool = False) -> Config:
-    """Read what the platform tells, or a file of ours for the v2 front; `again` for a reload."""
+def load(environ: Mapping[str, str], file: Path | None = None, before: Config | None = None) -> Config:
+    """Read what the platform tells, or a file of ours for the v2 front; `before` is the one in force.
+
+    A file read anew must hold every key that the one in force holds, but for `seed` and `known`."""
     if file is not None:
-        return from_file(file)
+        config = from_file(file)
+        if before is not None:
+            kept(before.told, config.told)
+        return config
     try:
         raw = orjson.loads(Path(environ.get("EDGE_CONFIG", "")).read_bytes())
     except (OSError, orjson.JSONDecodeError) as error:
         raise ConfigError(f"EDGE_CONFIG: {error}") from None
     if not isinstance(raw, dict):
         raise ConfigError("EDGE_CONFIG: must be an object")
+    if before is not None:
+        kept(before.told, raw)
+    told, again = dict(raw), before is not None
     names = (
         ("name", "EDGE_NAME"), ("listen", "EDGE_LISTEN"), ("discovery", "EDGE_DISCOVERY"),
         ("operator", "EDGE_OPERATOR"),
@@ -98,7 +107,7 @@
         # Guards against an environment as old as the process, which must not hide a reload's new address.
         if environ.get(name) and not (again and key in RELOADED):
             raw[key] = environ[name]
-    return replace(platform(raw), inherited=descriptor(environ.get("EDGE_SOCKET_FD")))
+    return replace(platform(raw), inherited=descriptor(environ.get("EDGE_SOCKET_FD")), told=told)
 
 
 def descriptor(value: str | None) -> int | None:
@@ -113,6 +122,7 @@
 def platform(raw: dict) -> Config:
     """Check the platform's configuration."""
     told = group(raw, "settings", needed=True)
+    limited(told, "settings.")
     allowed = group(told, "allowed", "settings.")
     return Config(
         name=text(raw, "name"),
@@ -137,6 +147,7 @@
         raise ConfigError(f"{path.name}: {error}") from None
     files = group(raw, "xds", needed=True)
     told = group(raw, "settings", needed=True)
+    limited(told, "settings.")
     upstream, ledger = group(raw, "upstream"), group(raw, "ledger")
     return Config(
         name=text(raw, "name"),
@@ -150,6 +161,7 @@
         ledger_most=whole(ledger, "ids", 50_000, 1, "ledger."),
         ledger_keep=timedelta(seconds=whole(ledger, "keep_s", 600, 1, "ledger.")),
         files=tuple(path.parent / text(files, key, "xds.") for key in ("clusters", "endpoints")),
+        told=raw,
     )
 
 
@@ -161,6 +173,48 @@
         raise ConfigError(f"{where}{error}") from None
 
 
+def limited(told: dict, where: str) -> None:
+    """Check that each class's times and the number of attempts are numbers above 0, as the file writes them.
+
+    Guards against a file in which a string or 0 stands for them: the simulator's wire cannot tell them."""
+    lanes = told.get("lanes")
+    if not isinstance(lanes, list) or not lanes:
+        raise ConfigError(f"{where}lanes: " + ("is missing" if lanes is None else "must be a list"))
+    for index, lane in enumerate(lanes):
+        if not isinstance(lane, dict):
+            raise ConfigError(f"{where}lanes.{index}: must be an object")
+        for key in ("target", "hard_limit"):
+            above_zero(lane, key, f"{where}lanes.{lane.get('name', index)}.")
+    allowed = told.get("allowed")
+    if isinstance(allowed, dict) and "attempts_cap" in allowed:
+        above_zero(allowed, "attempts_cap", f"{where}allowed.")
+
+
+def above_zero(raw: dict, key: str, where: str) -> None:
+    """Check a number that must be there and above 0."""
+    value = raw.get(key)
+    if value is None:
+        raise ConfigError(f"{where}{key}: is missing")
+    if not isinstance(value, int | float) or isinstance(value, bool) or not value > 0:
+        raise ConfigError(f"{where}{key}: must be a number above 0")
+
+
+def kept(old: object, new: object, where: str = "") -> None:
+    """Check that a file read anew has every key of the one in force, in all objects below the top.
+
+    Guards against a file cut short or written in part, which would take defaults for what it lacks."""
+    if not isinstance(old, dict):
+        return
+    if not isinstance(new, dict):
+        raise ConfigError(f"{where.rstrip('.')}: must be an object")
+    for key, value in old.items():
+        if where == "" and key in IGNORED:
+            continue
+        if key not in new:
+            raise ConfigError(f"{where}{key}: is missing")
+        kept(value, new[key], f"{where}{key}.")
+
+
 def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
     """Give nested settings as the simulator's wire writes them."""
     if isinstance(value, dict):
--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from hoplane.decision.interface import State, Status
+from hoplane.decision.interface import Settings, State, Status
 
 ZERO = timedelta()
 
@@ -114,7 +114,14 @@
     refused: bool
 
 
-Event = Asked | Left | Began | Ended | HoldAnswered | Probed | Due | Listed | Turned
+@dataclass(slots=True, frozen=True)
+class Reloaded:
+    """A file was read anew at SIGHUP: its settings hold for what comes, or (None) it was turned down."""
+
+    settings: Settings | None
+
+
+Event = Asked | Left | Began | Ended | HoldAnswered | Probed | Due | Listed | Turned | Reloaded
 
 
 # --- effects
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from zlib import crc32
 
@@ -14,6 +14,7 @@
 from hoplane.decision import interface as api
 from hoplane.decision.interface import Status
 from hoplane.decision.rules import Router
+from hoplane.decision.state import retune
 
 MAY_HAVE_RUN = (Status.OK, Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 SETTLE = timedelta(milliseconds=15)  # a release waits so long after a read was cut off: the close goes ahead
@@ -40,6 +41,8 @@
     asked: ev.Asked
     taken: timedelta
     deadline: timedelta
+    cap: int | None = None  # attempts, and whether it must not run twice, as the settings were when it came
+    unsafe: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     began: bool = False
     closed: bool = False  # the client has its answer, is getting it, or is gone
@@ -106,7 +109,9 @@
         return
     if once:
         state.ledger.start(once)
-    state.requests[event.id] = Request(event, now, now + event.patience)
+    told = state.settings
+    unsafe = any(each.effect is api.Effect.UNSAFE for each in told.classes if each.name == event.cls)
+    state.requests[event.id] = Request(event, now, now + event.patience, told.max_attempts, unsafe)
     yield ev.Wake(now + event.patience + BACKSTOP, (event.id, None, now))
     yield from decide(state, now, api.Request(
         event.id, event.cls, event.prompt, event.max_out, to_ns(event.patience),
@@ -230,6 +235,17 @@
     yield from decide(state, now, api.Fleet(entries, event.whole))
 
 
+def on_reloaded(state: Conductor, now: timedelta, event: ev.Reloaded) -> Iterator[ev.Effect]:
+    """Put a new file's settings in force for requests from now on, or count it as turned down."""
+    if event.settings is None:
+        state.figures.conf_invalid += 1
+        return
+    state.figures.conf_loaded += 1
+    state.settings = replace(event.settings, kinds=state.settings.kinds)  # kinds wait for a start
+    retune(state.router, state.settings)
+    yield ev.Say("retuned", {"classes": [each.name for each in event.settings.classes]})
+
+
 def on_turned(state: Conductor, now: timedelta, event: ev.Turned) -> Iterator[ev.Effect]:
     """Count what a front answered by itself."""
     state.figures.count(event.cls, "deferred" if event.refused else "errored")
@@ -239,7 +255,7 @@
 HANDLERS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
     ev.Asked: on_asked, ev.Left: on_left, ev.Began: on_began, ev.Ended: on_ended,
     ev.HoldAnswered: on_hold_answered, ev.Probed: on_probed, ev.Due: on_due, ev.Listed: on_listed,
-    ev.Turned: on_turned,
+    ev.Turned: on_turned, ev.Reloaded: on_reloaded,
 }
 
 
@@ -251,7 +267,7 @@
     request, endpoint = state.requests.get(action.request), state.fleet.get(action.server)
     if request is None:
         return []
-    index, cap = len(request.attempts), state.settings.max_attempts
+    index, cap = len(request.attempts), request.cap
     role = next((k.role for k in state.settings.kinds if endpoint and k.name == endpoint.kind), None)
     request.attempts.append(Attempt(action.server, role is api.Role.READ, now))
     if request.closed or request.began or now >= request.deadline or (cap and index >= cap):
@@ -264,9 +280,7 @@
             patience = own
             yield ev.Wake(now + own, (action.request, index, request.taken))
         reads = role is api.Role.READ
-        classes = (each for each in state.settings.classes if each.name == request.asked.cls)
-        once = not reads and any(each.effect is api.Effect.UNSAFE for each in classes)
-        yield ev.Forward(action.request, index, endpoint, patience, reads, once)
+        yield ev.Forward(action.request, index, endpoint, patience, reads, not reads and request.unsafe)
         return []
     request.attempts[index].over = True
     return [api.Outcome(action.request, index, action.server, status, 0, request.closed)]
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -1,7 +1,6 @@
 """Every decision of a router, and every table and tuned value; its interface is `interface.py`.
 
-Each send passes `send`, each end `finish`; `settle` sees to requests with no attempt out after each event.
-`docs/design.md` tells the mechanism (the paper's section 5) from the exceptions made to it."""
+Sends pass `send`, ends `finish`, `settle` sees to what has nothing out; `docs/design.md` tells the rest."""
 
 from __future__ import annotations
 
@@ -127,7 +126,8 @@
         if cls is None or event.request in self.jobs:
             return None
         row = self.rows.get(event.session or event.prefix or "")
-        job = self.jobs[event.request] = Job(event, cls, self.now, self.now + event.patience, row)
+        job = Job(event, cls, self.now, self.now + event.patience, row, self.settings.max_attempts)
+        self.jobs[event.request] = job
         self.prompts.add(event.prompt, BLEND)
         self.asked.setdefault(event.tenant or "", Rate(RATE_SPAN)).add(self.now)
         for prefix in dict.fromkeys(("", event.prefix or "")):
@@ -440,7 +440,7 @@
 
     def may_send(self, job: Job, server: Server | None) -> bool:
         """Tell whether attempts, copies and effects allow another send, anywhere or to this server."""
-        cap, cls = self.settings.max_attempts, job.cls
+        cap, cls = job.cap, job.cls
         copy = not job.out or (self.settings.second_copies and cls.effect is Effect.SAFE)
         if job.ended or (cap and len(job.attempts) >= cap) or not copy:
             return False
--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -268,6 +268,7 @@
     arrived: int
     deadline: int
     row: Row | None
+    cap: int | None = None  # attempts at most, as the settings were when it came
     attempts: list[Attempt] = field(default_factory=list)
     local: Server | None = None  # the writer that reads this turn itself
     state_at: Server | None = None  # the reader where the read state waits
@@ -323,3 +324,13 @@
         """Give the answer's length as hinted, else its told maximum."""
         request, aim = self.request, self.cls.token_aim
         return max(1, request.hint // aim if request.hint and aim else request.max_out)
+
+
+def retune(router, settings) -> None:
+    """Put new settings in force for what comes from now on; a request taken keeps its class as it was.
+
+    The server list, what was learnt of servers and sessions, and timers stay. Kinds stay as they were."""
+    router.settings = settings
+    router.classes = {cls.name: cls for cls in settings.classes}
+    router.quotas = {tenant.name: tenant.quota_per_s for tenant in settings.tenants}
+    router.pairs = [None, *((tenant, name) for tenant in (None, *router.quotas) for name in router.classes)]
--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 from collections.abc import Mapping
+from dataclasses import replace
 from datetime import timedelta
 from itertools import count
 
@@ -13,8 +14,8 @@
 
 from hoplane import __version__
 from hoplane.config import Config
-from hoplane.core.events import Asked, Forward, Left, Listed
-from hoplane.decision.interface import ClassSettings, Effect, Role, State, Status
+from hoplane.core.events import Asked, Forward, Left, Listed, Reloaded
+from hoplane.decision.interface import ClassSettings, Effect, Role, Settings, State, Status
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
 from hoplane.net.server import MARGIN, Server, retry_after, target
@@ -178,6 +179,13 @@
         self.models: dict[str, Runtime] = {}
         self.numbers = count(1)
 
+    def retune(self, settings: Settings) -> None:
+        """Take requests of the new classes from now on; those taken keep their rules."""
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self.config = replace(self.config, settings=settings)
+        for runtime in self.runtimes:
+            runtime.feed(Reloaded(settings))
+
     def feed(self, name: str, listed: Listed) -> None:
         """Take a cluster's list; a cluster seen for the first time is a new model."""
         if name not in self.models:
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from hoplane.config import Config
-from hoplane.core.events import Asked, Endpoint, Forward, Left, Listed, Turned
+from hoplane.core.events import Asked, Endpoint, Forward, Left, Listed, Reloaded, Turned
 from hoplane.decision.interface import Settings, State, Status
 from hoplane.net.runtime import Runtime
 from hoplane.net.server import MARGIN, Relay, Server, StreamSink, problem, retry_after, target
@@ -188,6 +188,11 @@
         self.runtime.feed(Turned(asked.cls, response.status in (429, 503)))
         return response
 
+    def retune(self, settings: Settings) -> None:
+        """Take requests of the new classes from now on; those taken keep their rules."""
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self.runtime.feed(Reloaded(settings))
+
     def busy(self) -> web.Response:
         """Refuse before a limit is met."""
         response = web.Response(status=503, headers={"Retry-After": "1"}, text="too much at once\n")
