Hand over between two processes through TMPDIR: the old gives way, the new waits for it

GET /health/ready is left as it was, since the front asks it through the shared socket. Not taken: passing connections between the processes, which needs a Unix socket, and a yes at once with the old one cut short.

Also a fault found by the test suite under load: aiohttp clears its current request before it writes the answer, so Caller.idle held a connection as idle while its answer went out, and a drain or the bound on connections could close it then (ConnectionResetError in test_sighup_never_ends...). idle now also reads `_request_in_progress`; tests/test_aio.py checks it is there and counted.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -23,6 +23,7 @@
 from hoplane.fronts.operator import Operator
 from hoplane.net import signals
 from hoplane.net.discovery import Discovery
+from hoplane.net.handover import Handover
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
 
@@ -41,12 +42,14 @@
         self.operator = config.operator and Operator(
             config.operator, self.unready, self.figures, server.leave, server.join
         )
+        shared = config.inherited is not None and config.scratch is not None
+        self.handover = shared and Handover(config.scratch, lambda: server.open, server.give_way)
 
     def unready(self) -> str | None:
         """Tell why this process does not take new clients, None where it does."""
         server = self.front.server
         if server.ready:
-            return None
+            return "the process before is finishing" if self.handover and self.handover.waiting else None
         return "stopping" if server.stopping else "draining" if server.leaving is not None else "starting"
 
     def figures(self) -> dict[str, object]:
@@ -130,6 +133,8 @@
         gc.freeze()  # what lives from the start to the end need not be looked at again and again
         log.say("started", name=self.config.name, listen="{}:{}".format(*self.config.listen), pid=os.getpid())
         beside = [asyncio.create_task(self.tidy()), asyncio.create_task(self.pool.tally.tell())]
+        if self.handover:
+            beside.append(asyncio.create_task(self.handover.run()))
         await stop.wait()
         log.say("stopping", open=self.front.server.open)
         await self.front.server.stop()
--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -74,11 +74,12 @@
     ledger_keep: timedelta = timedelta(minutes=10)
     files: tuple[Path, ...] = ()  # clusters and endpoints in xDS form, for the v2 front
     inherited: int | None = None  # a listening socket held by the platform, as descriptor `EDGE_SOCKET_FD`
+    scratch: Path | None = None  # `$TMPDIR`, which two processes on an inherited socket share
     told: dict = field(default_factory=dict, compare=False, repr=False)  # the file as it was read
 
 
 RELOADED = ("discovery", "files", "limits", "settings")  # what a reload puts in force; the rest waits
-IGNORED = ("seed", "known", "inherited", "told")  # what is new with each start, and of no use to a reload
+IGNORED = ("seed", "known", "inherited", "scratch", "told")  # new with each start, of no use to a reload
 
 
 def load(environ: Mapping[str, str], file: Path | None = None, before: Config | None = None) -> Config:
@@ -107,7 +108,9 @@
         # Guards against an environment as old as the process, which must not hide a reload's new address.
         if environ.get(name) and not (again and key in RELOADED):
             raw[key] = environ[name]
-    return replace(platform(raw), inherited=descriptor(environ.get("EDGE_SOCKET_FD")), told=told)
+    scratch = Path(environ["TMPDIR"]) if environ.get("TMPDIR") else None
+    inherited = descriptor(environ.get("EDGE_SOCKET_FD"))
+    return replace(platform(raw), inherited=inherited, scratch=scratch, told=told)
 
 
 def descriptor(value: str | None) -> int | None:
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -193,8 +193,10 @@
 
     @property
     def idle(self) -> bool:
-        """Tell whether no request is open on it."""
-        return self._current_request is None and not self._messages
+        """Tell whether no request is open on it.
+
+        Guards against a close while an answer is written: aiohttp forgets the request before it writes."""
+        return not self._request_in_progress and self._current_request is None and not self._messages
 
     def data_received(self, data: bytes) -> None:
         if self.deaf:
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -171,6 +171,12 @@
             self.leaving = asyncio.get_running_loop().time()
             self.draining = asyncio.get_running_loop().create_task(self.drain())
 
+    def give_way(self) -> None:
+        """Let the process beside take every new connection, and empty this one as a drain does."""
+        if self.listener is not None:
+            self.listener.close()
+        self.leave()
+
     def join(self) -> None:
         """End a drain: take clients again."""
         self.leaving = None
--- a/tests/test_aio.py
+++ b/tests/test_aio.py
@@ -19,7 +19,7 @@
 
 
 def test_the_private_parts_are_there():
-    assert {"_current_request", "_messages"} <= set(RequestHandler.__slots__)
+    assert {"_current_request", "_messages", "_request_in_progress"} <= set(RequestHandler.__slots__)
     assert hasattr(RequestHandler, "_resume_transport_reading")
     assert _ErrInfo(400, ValueError(), "x").status == 400
     assert hasattr(ResponseHandler, "set_response_params") and hasattr(ResponseHandler, "feed_data")
@@ -32,6 +32,9 @@
         never_resend(session)
         door = Door(None, None, 5, 5, 5)
         assert door._connections == {} and door.caller().idle
+        caller = door.caller()
+        caller._request_in_progress = True  # as while aiohttp writes an answer whose request it forgot
+        assert not caller.idle
         await session.close()
     asyncio.run(test())
 
