--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -504,7 +504,7 @@
             limit = min(limit, OVER_LATE)
         late = self.now - job.arrived + wait
         job.pause = round(late - limit * job.aim)
-        limit *= AGAIN if job.request.retry else 1
+        limit *= AGAIN if job.request.retry and self.settings.retry_after else 1
         return late > limit * job.aim
 
     def crowding(self) -> float:
--- a/tests/test_defences.py
+++ b/tests/test_defences.py
@@ -307,6 +307,18 @@
     assert [a.pause // (50 * MS) for a in desk.of(api.Refuse)] == pauses
 
 
+def test_where_no_wait_can_be_told_a_repeat_meets_the_limit_of_a_first_try():
+    """A client told no wait comes again at once, to the same waits: a stricter limit spends its tries."""
+    ends = {}
+    for retry in (False, True):
+        desk = Desk(writers_read=False, retry_after=False)
+        desk.serve("before")
+        jam(desk, 600 * MS)
+        desk.ask("r", retry=retry)
+        ends[retry] = (desk.ends(), len(desk.sent()))
+    assert ends == {False: ([], 1), True: ([], 1)}
+
+
 def test_a_mixed_server_has_a_smaller_part_of_the_ring_than_a_reader():
     ring = Desk(fleet=(*FLEET, entry(31, "mixed"))).router.ring
     points = [server.entry.server for _, server in ring.points]
