Pay turns at cold servers in by what clients ask, and read only with a writer's turn

All 8 writers were gone at 9.6 s and came back cold at 12.3 to 13.7 s. Cause: rules.py, cold_room: turns were a part of what was sent to writers of late; with all of them gone that had fallen to nothing, so no turn came, so nothing was sent. And step() began a read whether or not any writer could take its state. Ruled out: waits (limits 0.85, waits of 20 to 600 ms), crowding (0), servers aside (none after 13.9 s).

Change: decision/turns.py counts first tries of clients; the work that turns are a part of is the more of what was sent and what was asked. Where all writers are cold, step() waits for a turn, and hold() keeps it with a place.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -16,6 +16,7 @@
 from .places import Places
 from .probes import Trust
 from .state import Attempt, Job, Mean, Rate, Ring, Row, Server, Servers, Timers, drop_before, mix
+from .turns import Turns
 from .words import Symptom, Word
 
 MS, SECOND = 1_000_000, 1_000_000_000
@@ -56,7 +57,6 @@
 DOUBT_COST = {Effect.SAFE: 1.0, Effect.KEYED: 1.0, Effect.UNSAFE: 8.0}  # that part's weight at a writer
 ASIDE, ASIDE_MOST = SECOND, 8 * SECOND  # a dead or silent server stays aside, doubled up to the most
 BEFORE, BETWEEN = 400 * MS, 400 * MS  # when it is probed before its return; least time between two probes
-COLD_PART = 0.8  # of what a cold server must stand, over all routers
 SWEEP = 50 * MS  # how often servers are looked over and waiting requests tried again
 RATE_SPAN = 5 * SECOND  # what came lately came in this; what was told counts for a half to all of it
 
@@ -86,6 +86,7 @@
         self.held = {role: Mean() for role in Role}  # shares of memory that servers told
         self.streams = Mean()  # our streams a writer
         self.places, self.kept, self.trust = Places(RATE_SPAN), Kept(wary=settings.retry_after), Trust()
+        self.turns = Turns(RATE_SPAN)
         self.speed = 0.0  # tokens a second that a reader reads at its best
         self.timers = Timers()
         self.sweeping = self.watching = False
@@ -133,6 +134,7 @@
         job = Job(event, cls, self.now, self.now + event.patience, row, self.settings.max_attempts)
         self.jobs[event.request] = job
         self.prompts.add(event.prompt, BLEND)
+        self.turns.came.add(self.now, not event.retry)
         self.asked.setdefault(event.tenant or "", Rate(RATE_SPAN)).add(self.now, not event.retry)
         for prefix in dict.fromkeys(("", event.prefix or "")):
             self.drawn[prefix] = self.drawn.pop(prefix, Rate(IDLE))
@@ -418,6 +420,8 @@
         if job.local is not None and self.send(job, job.local, reads=False):
             return True
         job.local = None
+        if self.scarce() and not any(map(self.due, self.live(WRITERS))):
+            return False  # no read for a state that no writer would take before it has to be let go
         read = self.send_first(job, self.readers(job), reads=True)
         return read or self.send_first(job, self.escape(job), reads=False)
 
@@ -473,23 +477,17 @@
         self.actions.append(api.Send(job.request.request, server.entry.server))
         if reads:
             job.near = server
-            if self.places.wanted(self.now, self.settings.probe_price, self.rng):
-                self.hold(job)
+            if self.scarce() or self.places.wanted(self.now, self.settings.probe_price, self.rng):
+                self.hold(job)  # which keeps a cold writer's turn for this request
         return True
 
     def cold_room(self, server: Server) -> bool:
-        """Tell whether a server is warm or has its turn: a part of a warm one's rate is paid in over time.
+        """Tell whether a server is warm or has its turn."""
+        peers, sent = len(self.live((server.role,))), self.sends[server.role is Role.READ]
+        return self.turns.room(server, self.now, self.settings, sent, peers)
 
-        Begun at random, lest routers meet. Guards against servers that come back in a jam and stay idle, as
-        they warm by what they serve; may harm where one warms late."""
-        told = self.settings
-        if server.warmth(self.now, told.cold) == 1 or not told.fall_multiple:
-            return True
-        sent = max(1.0, self.sends[server.role is Role.READ].add(self.now, 0))
-        part = COLD_PART * min(1.0, told.cold_share * told.fall_multiple) / len(self.live((server.role,)))
-        paid = (self.now - server.credit_at) * sent / RATE_SPAN * part
-        server.credit, server.credit_at = min(1.0, (server.credit or 0.0) + paid), self.now
-        return server.credit == 1
+    def scarce(self) -> bool:  # all writers are cold
+        return self.turns.scarce(self.live(WRITERS), self.now, self.settings)
 
     def due(self, server: Server) -> bool:  # a cold one's turn has come
         return server.warmth(self.now, self.settings.cold) < 1 and self.cold_room(server)
--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -138,3 +138,37 @@
     desk.ask("big", prompt=6500)
     desk.ask("next", prompt=1500, tenant="t")
     assert desk.ends() == []
+
+
+def all_back_cold(**changes):
+    """Give a router whose writers all came back cold a while after it had sent them anything."""
+    desk = Desk(cold=30 * S, cold_share=0.3, fall_multiple=2.5, **changes)
+    desk.now += 20 * S
+    desk.do(api.Fleet(FLEET[:2] + tuple(entry(w, "writer", born=desk.now) for w in (21, 22)), whole=True))
+    return desk
+
+
+def test_writers_that_all_came_back_cold_get_work_by_what_clients_ask_and_not_by_what_was_sent():
+    desk, written, reads = all_back_cold(ahead=True), 0, 0
+    for number in range(220):  # 10 a second, the first 10 s to be known
+        request = f"r{number}"
+        desk.ask(request, after=100 * MS)
+        if not (sent := desk.sent()):
+            desk.leave(request)
+            continue
+        reads += number >= 120
+        desk.do(api.Place(request, 0, sent[0], held=True))
+        desk.outcome(Status.MISS, sent[0], request, after=0)
+        written += number >= 120 and len(desk.sent())
+        desk.leave(request)
+    assert 40 <= written <= 62, "about 0.8 * 0.75 of them, and no more"
+    assert reads == written, "no read for a state that no writer takes"
+
+
+def test_repeats_bring_no_turns_at_cold_writers():
+    desk, reads = all_back_cold(), 0
+    for number in range(100):
+        desk.ask(f"r{number}", after=100 * MS, retry=True)
+        reads += len(desk.sent())
+        desk.leave(f"r{number}")
+    assert reads < 25, "as the sends themselves bring some"
