Add leases for fleet-wide tasks over the etcd v3 API, fenced, and a lab that breaks them

Design (docs/leases.md weighs the options): an existing engine over the etcd v3 JSON gateway, met only through a stand-in written from its public API. lease/choice.py is a state machine without I/O: it asks, renews, lets go, and allows an act only if it ends before the lease can (ttl, less twice the clocks' drift, counted from when the call was sent). lease/keeper.py makes the calls, lease/etcd.py speaks the gateway. The token is epoch and revision. The first task is the patrol: the holder asks every endpoint for a sign of life and sends its token along. hoplane/lab: the engine (revisions, leases, transactions, watches, compaction, faults on command), links that drop, delay, reorder, double or cut, endpoints that compare tokens and write acts down, a checker, drills, a command line.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -19,6 +19,7 @@
 from hoplane.config import Config, ConfigError
 from hoplane.core.events import Reloaded
 from hoplane.core.pacing import Pacing
+from hoplane.decision.interface import State
 from hoplane.fronts import kserve, platform
 from hoplane.fronts.operator import Operator
 from hoplane.net import signals
@@ -43,8 +44,28 @@
             config.operator, self.unready, self.figures, server.leave, server.join
         )
         shared = config.inherited is not None and config.scratch is not None
+        self.beside_path = self.fleet_parts()
         self.handover = shared and Handover(config.scratch, lambda: server.open, server.give_way)
 
+    def fleet_parts(self) -> list:  # imported here, as the platform's run has none and should not load them
+        """Give this process's part in what the fleet does together, beside the request path."""
+        parts = []
+        if self.config.lease:
+            from hoplane.lease.watchman import Watchman
+
+            parts.append(Watchman(self.config, self.endpoints))
+        if self.config.shared:
+            from hoplane.shared.member import Member
+
+            parts.append(Member(self.config, lambda: self.front.runtimes))
+        return parts
+
+    def endpoints(self) -> list[tuple[str, str]]:
+        """Give the names and addresses of what is listed and not gone."""
+        fleets = [runtime.state.fleet for runtime in self.front.runtimes]
+        listed = [each for fleet in fleets for each in fleet.values() if each.state is not State.GONE]
+        return [(each.name, each.address) for each in listed]
+
     def unready(self) -> str | None:
         """Tell why this process does not take new clients, None where it does."""
         server = self.front.server
@@ -135,13 +156,19 @@
         beside = [asyncio.create_task(self.tidy()), asyncio.create_task(self.pool.tally.tell())]
         if self.handover:
             beside.append(asyncio.create_task(self.handover.run()))
+        for part in self.beside_path:
+            part.start()
         await stop.wait()
+        for part in self.beside_path:
+            await part.leave()
         log.say("stopping", open=self.front.server.open)
         await self.front.server.stop()
         if self.operator:
             self.operator.stop()
         for runtime in self.front.runtimes:
             await runtime.rest()
+        for part in self.beside_path:
+            await part.stop()
         signals.ignore_reload()
         for task in (*beside, self.watching):
             task.cancel()
--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -12,12 +12,24 @@
 
 from hoplane.adapter import WireError, read_settings
 from hoplane.decision.interface import Settings
+from hoplane.lease.choice import Terms
+from hoplane.shared.escrow import Budget
+from hoplane.shared.verdicts import Rule
 
 MEGABYTE = 1 << 20
 BODY_MOST = 256 * 1024  # the protocol's bound on a body
 BASE = 52 * MEGABYTE  # what the program takes with no request open, measured at 48
 
 
+LEASE_KEYS = (
+    "engine", "key", "ttl_s", "act_ms", "call_ms", "every_ms", "drift", "epoch", "clock_rate",
+)
+SHARED_KEYS = (
+    "engine", "ttl_s", "call_ms", "every_ms", "drift", "clock_rate", "most", "reserve", "cold_sends",
+    "window_ms", "failures", "keep_ms",
+)
+
+
 class ConfigError(Exception):
     """What is wrong, with the key in front."""
 
@@ -55,6 +67,31 @@
         return max(8 * BODY_MOST, min(self.memory // 8, (self.memory - BASE) // 4))
 
 
+@dataclass(slots=True, frozen=True)
+class Lease:
+    """The lease of the fleet's patrol, see docs/leases.md: where it is kept, and on what terms."""
+
+    engine: tuple[str, ...]  # HOST:PORT of the engine's members
+    key: str
+    terms: Terms
+    call: timedelta  # how long a call to the engine may take
+    every: timedelta  # between two rounds of the patrol
+    clock_rate: float = 1.0  # for drills: how fast this process's clock runs
+
+
+@dataclass(slots=True, frozen=True)
+class Shared:
+    """What the conductors of a fleet share, see docs/shared.md."""
+
+    engine: tuple[str, ...]
+    terms: Terms
+    call: timedelta
+    every: timedelta  # between two rounds at the engine
+    cold: Budget  # of sends to each cold endpoint, by all conductors
+    rule: Rule
+    clock_rate: float = 1.0
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     """All that a conductor is told."""
@@ -72,6 +109,8 @@
     max_open: int = 20_000
     ledger_most: int = 50_000  # ids that must not run twice, and how long they are remembered
     ledger_keep: timedelta = timedelta(minutes=10)
+    lease: Lease | None = None
+    shared: Shared | None = None
     files: tuple[Path, ...] = ()  # clusters and endpoints in xDS form, for the v2 front
     inherited: int | None = None  # a listening socket held by the platform, as descriptor `EDGE_SOCKET_FD`
     scratch: Path | None = None  # `$TMPDIR`, which two processes on an inherited socket share
@@ -163,11 +202,82 @@
         conn_idle=milliseconds(upstream, "idle_ms", 15_000, "upstream."),
         ledger_most=whole(ledger, "ids", 50_000, 1, "ledger."),
         ledger_keep=timedelta(seconds=whole(ledger, "keep_s", 600, 1, "ledger.")),
+        lease=lease(group(raw, "lease")) if "lease" in raw else None,
+        shared=shared(group(raw, "shared"), told) if "shared" in raw else None,
         files=tuple(path.parent / text(files, key, "xds.") for key in ("clusters", "endpoints")),
         told=raw,
     )
 
 
+def lease(raw: dict) -> Lease:
+    """Check the lease's part of a file of ours."""
+    engine = members(raw, LEASE_KEYS, "lease.")
+    call = milliseconds(raw, "call_ms", 500, "lease.")
+    try:
+        terms = Terms(
+            ttl=timedelta(seconds=whole(raw, "ttl_s", 5, 1, "lease.")),
+            act=milliseconds(raw, "act_ms", 500, "lease."),
+            drift=number(raw, "drift", 0.01, "lease."),
+            epoch=whole(raw, "epoch", 1, 1, "lease."),
+        )
+    except ValueError as error:
+        raise ConfigError(f"lease.{error}") from None
+    if call > terms.renew:
+        raise ConfigError("lease.call_ms: must be at most a third of ttl_s, to try a renewal again")
+    key = text(raw, "key", "lease.") if "key" in raw else "hoplane/patrol"
+    every, rate = milliseconds(raw, "every_ms", 1000, "lease."), number(raw, "clock_rate", 1.0, "lease.")
+    if not 0.5 <= rate <= 2:
+        raise ConfigError("lease.clock_rate: must be from 0.5 to 2")
+    return Lease(engine, key, terms, call, every, rate)
+
+
+def members(raw: dict, known: tuple[str, ...], where: str) -> tuple[str, ...]:
+    """Give the addresses of an engine's members, and check that a part has no unknown keys."""
+    if unknown := set(raw) - set(known):
+        raise ConfigError(f"{where}{min(unknown)}: is not known")
+    engine = raw.get("engine")
+    if not isinstance(engine, list) or not engine:
+        raise ConfigError(f"{where}engine: must be a list of HOST:PORT, at least one")
+    for at in range(len(engine)):
+        address({f"{where}engine.{at}": engine[at]}, f"{where}engine.{at}")
+    return tuple(engine)
+
+
+def shared(raw: dict, told: dict) -> Shared:
+    """Check the part of a file of ours that tells what the fleet shares."""
+    engine = members(raw, SHARED_KEYS, "shared.")
+    if isinstance(family := told.get("family_info"), dict) and family.get("ahead"):
+        raise ConfigError("shared: cannot go with settings.family_info.ahead, whose places no budget covers")
+    window = milliseconds(raw, "window_ms", 1000, "shared.")
+    call = milliseconds(raw, "call_ms", 300, "shared.")
+    every, ttl = milliseconds(raw, "every_ms", 500, "shared."), whole(raw, "ttl_s", 5, 1, "shared.")
+    if "most" not in raw:
+        raise ConfigError("shared.most: is missing: the most conductors that ever run at a time")
+    try:
+        budget = Budget(
+            number(raw, "cold_sends", 10.0, "shared."), window,
+            whole(raw, "most", 1, 1, "shared."), number(raw, "reserve", 0.3, "shared."),
+        )
+        rule = Rule(whole(raw, "failures", 3, 1, "shared."), milliseconds(raw, "keep_ms", 4000, "shared."))
+        # A slice's term ends a window before the lease: what `act` is to a task, the window is to a slice.
+        terms = Terms(timedelta(seconds=ttl), window, number(raw, "drift", 0.01, "shared."))
+    except ValueError as error:
+        key, _, what = str(error).partition(":")
+        ours = {"act_ms": "window_ms", "bound": "cold_sends", "need": "failures"}
+        raise ConfigError(f"shared.{ours.get(key, key)}:{what}") from None
+    if 2 * (every + 3 * call) > terms.span - window:
+        raise ConfigError("shared.ttl_s: too short, two rounds (every_ms, 3 calls) must fit beside window_ms")
+    return Shared(engine, terms, call, every, budget, rule, number(raw, "clock_rate", 1.0, "shared."))
+
+
+def number(raw: dict, key: str, default: float, where: str) -> float:
+    """Give a number."""
+    value = raw.get(key, default)
+    if not isinstance(value, int | float) or isinstance(value, bool):
+        raise ConfigError(f"{where}{key}: must be a number")
+    return float(value)
+
+
 def settings(told: dict, where: str) -> Settings:
     """Check the settings, whose names and units are the simulator's."""
     try:
--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -121,7 +121,14 @@
     settings: Settings | None
 
 
-Event = Asked | Left | Began | Ended | HoldAnswered | Probed | Due | Listed | Turned | Reloaded
+@dataclass(slots=True, frozen=True)
+class Judged:
+    """The fleet finds that an endpoint fails its requests; the module avoids it for a while."""
+
+    endpoint: str
+
+
+Event = Asked | Left | Began | Ended | HoldAnswered | Probed | Due | Listed | Turned | Reloaded | Judged
 
 
 # --- effects
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -15,6 +15,7 @@
 from hoplane.decision.interface import Status
 from hoplane.decision.rules import Router
 from hoplane.decision.state import retune
+from hoplane.decision.words import Symptom, Word
 
 MAY_HAVE_RUN = (Status.OK, Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 SETTLE = timedelta(milliseconds=15)  # a release waits so long after a read was cut off: the close goes ahead
@@ -252,10 +253,17 @@
     yield from ()
 
 
+def on_judged(state: Conductor, now: timedelta, event: ev.Judged) -> Iterator[ev.Effect]:
+    """Let the module avoid an endpoint, as it does on a peer's word."""
+    number = state.numbers.get(event.endpoint)
+    if number in state.fleet:
+        yield from decide(state, now, api.PeerMessage(0, Word(Symptom.DOWN, number).pack()))
+
+
 HANDLERS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
     ev.Asked: on_asked, ev.Left: on_left, ev.Began: on_began, ev.Ended: on_ended,
     ev.HoldAnswered: on_hold_answered, ev.Probed: on_probed, ev.Due: on_due, ev.Listed: on_listed,
-    ev.Turned: on_turned, ev.Reloaded: on_reloaded,
+    ev.Turned: on_turned, ev.Reloaded: on_reloaded, ev.Judged: on_judged,
 }
 
 
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -474,6 +474,7 @@
         held = 0 if reads else job.request.prompt + job.request.max_out
         Attempt(job, len(job.attempts), server, reads, held, unread, self.now).take()
         self.sends[reads].add(self.now)
+        self.turns.book(server.entry.server)
         self.actions.append(api.Send(job.request.request, server.entry.server))
         if reads:
             job.near = server
--- a/hoplane/decision/turns.py
+++ b/hoplane/decision/turns.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from .interface import Settings
 from .state import Rate, Server
@@ -18,6 +18,10 @@
 
     def __init__(self, span: int) -> None:
         self.span, self.came = span, Rate(span)  # first tries of late
+        # Where the fleet shares a budget for each cold server, it stands in for the guess made here: whether
+        # one more send fits, and a send that is booked. Set from outside; both take the server's number.
+        self.fits: Callable[[int], bool | None] = lambda server: None
+        self.book: Callable[[int], None] = lambda server: None
 
     def room(self, server: Server, now: int, told: Settings, sent: Rate, peers: int) -> bool:
         """Tell whether a server is warm or has its turn; `sent` went to its role of late, `peers` have it.
@@ -28,6 +32,8 @@
         at hand, which would count double where each of many routers sees few."""
         if server.warmth(now, told.cold) == 1 or not told.fall_multiple:
             return True
+        if (fits := self.fits(server.entry.server)) is not None:
+            return fits
         work = max(1.0, sent.add(now, 0), self.came.add(now, 0) - 1)
         part = PART * min(1.0, told.cold_share * told.fall_multiple) / peers
         paid = (now - server.credit_at) * work / self.span * part
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -82,6 +82,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.queue: deque[ev.Event] = deque()
         self.busy = False
+        self.heed: Callable[[str, Status], None] | None = None  # told how each attempt ended, where set
         self.effects = {
             ev.Forward: self.forward, ev.Abandon: self.abandon, ev.AskHold: self.ask_hold,
             ev.Probe: self.probe, ev.LetGo: self.let_go, ev.Refuse: self.refuse, ev.Fail: self.fail,
@@ -111,6 +112,10 @@
 
     def count(self, what: ev.Event | ev.Effect) -> None:
         """Count what the fleet pays for, and how each attempt and place asked for ended."""
+        if self.heed and type(what) is ev.Ended and (request := self.state.requests.get(what.id)):
+            endpoint = self.state.fleet.get(request.attempts[what.attempt].server)
+            if endpoint is not None:
+                self.heed(endpoint.name, what.status)
         if name := COUNTED.get(type(what)):
             self.pool.tally[name(what)] += 1
 
--- /dev/null
+++ b/tests/test_drill.py
@@ -0,0 +1,88 @@
+"""Several real conductors, the engine's stand-in and links with faults: one holder at a time."""
+
+import time
+
+import pytest
+
+from hoplane.lab import drill
+from hoplane.lab.checker import Act, problems
+from hoplane.lab.schedule import Fault, Schedule, draw
+
+TTL = drill.TTL
+
+
+def holder(at, length, kind, **what):
+    return Fault(at, length, "holder", 0, {"kind": kind, "what": what})
+
+
+FIXED = {
+    "the holder cut off from the engine": Schedule("cut", 3, 6.5, (holder(1.5, 4.0, "link", cut=True),)),
+    "the holder stopped past its lease, then resumed": Schedule(
+        "stop", 3, 7, (holder(1.5, 3.5, "stop"),),
+    ),
+    "slow replies at the edge of the time to live": Schedule("slow", 3, 7, (
+        holder(1.5, 4.0, "link", reply_ms=[250, 2100]),
+        Fault(2.0, 3.0, "link", 1, {"request_ms": [200, 1900]}),
+    )),
+    "the engine restarts and loses its leases": Schedule("lost", 3, 5, (
+        Fault(2.0, 0.1, "engine", 0, {"restart": "lose_leases"}),
+    )),
+    "clocks that run fast and slow, and a holder that hears nothing": Schedule("skew", 3, 6.5, (
+        holder(1.5, 4.0, "link", drop_replies=1.0),
+    ), (1 - drill.DRIFT, 1 + drill.DRIFT, 1.0), fenced=False),
+    "acts that are late on their way past the lease": Schedule("late", 3, 7, (
+        holder(1.5, 1.0, "act", request_ms=[2300, 2600]), holder(1.6, 4.0, "link", cut=True),
+    )),
+}
+
+
+@pytest.mark.parametrize("name", FIXED)
+def test_two_holders_never_act_at_once(name):
+    found = drill.play(FIXED[name])
+    assert found.problems == []
+    assert len(found.tenures()) >= 2, "the fault ends a tenure, and another conductor takes over"
+    assert [line for line in found.events if line["event"] in ("loop_fault", "task_broke")] == []
+
+
+def test_without_the_engine_tasks_stop_and_requests_go_on(tmp_path):
+    found = drill.play(Schedule("gone", 2, 6, (Fault(1.5, 4.0, "engine", 0, {"pause_s": 4.0}),)))
+    assert found.problems == []
+    acts = sorted(act.begun for act in found.acts)
+    quiet = max(b - a for a, b in zip(acts, acts[1:], strict=False))
+    assert quiet > 1.5, "nobody acts while nothing is heard of the engine"
+    lost = [line["reason"] for line in found.events if line["event"] == "lease_lost"]
+    assert "not renewed in time" in lost
+
+
+def test_a_holder_that_ends_in_order_hands_over_at_once():
+    begun = time.monotonic()
+    found = drill.play(Schedule("order", 2, 3, ()))
+    assert found.problems == [] and time.monotonic() - begun < 15
+    lost = [line for line in found.events if line["event"] == "lease_lost"]
+    won = [line for line in found.events if line["event"] == "lease_won"]
+    assert len(won) == len(lost) >= 1 and lost[0]["reason"] == "stopped"
+
+
+def act(who, token, begun, ended, resource="r"):
+    return Act(resource, who, token, begun, ended)
+
+
+@pytest.mark.parametrize(("acts", "everywhere", "count"), [
+    ([act("a", 1, 0, 2), act("b", 2, 2, 3)], True, 0),
+    ([act("a", 1, 0, 2), act("b", 2, 1, 3)], False, 1),
+    ([act("a", 1, 0, 2), act("b", 2, 1, 3, "other")], False, 0),
+    ([act("a", 1, 0, 2), act("b", 2, 1, 3, "other")], True, 1),
+    ([act("a", 1, 0, 5), act("a", 1, 1, 2), act("b", 2, 3, 4)], False, 1),
+    ([act("b", 2, 0, 1), act("a", 1, 2, 3)], False, 1),
+    ([act("a", 1, 0, 2), act("a", 2, 1, 3)], False, 1),
+])
+def test_the_checker_finds_acts_that_overlap_and_tokens_that_fall(acts, everywhere, count):
+    assert len(problems(acts, everywhere)) == count
+
+
+def test_a_seed_draws_the_same_schedule_each_time_and_unfenced_ones_only_what_a_margin_stands():
+    assert draw(5, 4, TTL, 0.02) == draw(5, 4, TTL, 0.02) != draw(6, 4, TTL, 0.02)
+    for seed in range(60):
+        for fault in draw(seed, 4, TTL, 0.02, fenced=False).faults:
+            kind = fault.what["kind"] if fault.kind == "holder" else fault.kind
+            assert kind in ("link", "kill", "engine") and fault.what.get("restart") != "lose_leases"
--- /dev/null
+++ b/tests/test_fleet_config.py
@@ -0,0 +1,56 @@
+"""The parts [lease] and [shared] of a file of ours: what is wrong is named."""
+
+import re
+from datetime import timedelta
+from pathlib import Path
+
+import pytest
+
+from hoplane.config import ConfigError, load
+
+FILE = (Path(__file__).parent.parent / "deploy/kserve.toml").read_text()
+ENGINE = 'engine = ["127.0.0.1:2379"]\n'
+
+
+def read(tmp_path, part, text=FILE):
+    path = tmp_path / "hoplane.toml"
+    path.write_text(text + "\n" + part)
+    return load({}, path)
+
+
+@pytest.mark.parametrize(("part", "key"), [
+    ("[lease]\n", "lease.engine: "),
+    ('[lease]\nengine = ["nowhere"]\n', "lease.engine.0: "),
+    (f"[lease]\n{ENGINE}ttl = 5\n", "lease.ttl: is not known"),
+    (f"[lease]\n{ENGINE}ttl_s = 0\n", "lease.ttl_s: "),
+    (f"[lease]\n{ENGINE}act_ms = 2000\n", "lease.act_ms: too long"),
+    (f"[lease]\n{ENGINE}call_ms = 2000\n", "lease.call_ms: "),
+    (f"[lease]\n{ENGINE}drift = 0.5\n", "lease.drift: "),
+    (f'[lease]\n{ENGINE}drift = "low"\n', "lease.drift: must be a number"),
+    (f"[lease]\n{ENGINE}epoch = 0\n", "lease.epoch: "),
+    (f"[lease]\n{ENGINE}clock_rate = 9\n", "lease.clock_rate: "),
+    (f"[shared]\n{ENGINE}", "shared.most: is missing"),
+    (f"[shared]\n{ENGINE}most = 0\n", "shared.most: "),
+    (f"[shared]\n{ENGINE}most = 3\nreserve = 2\n", "shared.reserve: "),
+    (f"[shared]\n{ENGINE}most = 3\ncold_sends = 0\n", "shared.cold_sends: "),
+    (f"[shared]\n{ENGINE}most = 3\nwindow_ms = 4000\n", "shared.window_ms: too long"),
+    (f"[shared]\n{ENGINE}most = 3\nevery_ms = 3000\n", "shared.ttl_s: too short"),
+    (f"[shared]\n{ENGINE}most = 3\nfailures = 0\n", "shared.failures: "),
+])
+def test_a_part_that_cannot_hold_is_refused_with_its_key(tmp_path, part, key):
+    with pytest.raises(ConfigError, match="^" + re.escape(key)):
+        read(tmp_path, part)
+
+
+def test_budgets_do_not_go_with_places_ahead(tmp_path):
+    text = FILE.replace("[settings.family_info]\n", "[settings.family_info]\nahead = true\n")
+    with pytest.raises(ConfigError, match="^shared: cannot go with"):
+        read(tmp_path, f"[shared]\n{ENGINE}most = 3\n", text)
+
+
+def test_both_are_off_unless_the_file_names_them_and_have_defaults(tmp_path):
+    config = read(tmp_path, "")
+    assert config.lease is None and config.shared is None
+    config = read(tmp_path, f"[lease]\n{ENGINE}[shared]\n{ENGINE}most = 6\n")
+    assert config.lease.terms.ttl == timedelta(seconds=5) and config.lease.key == "hoplane/patrol"
+    assert config.shared.cold.most == 6 and config.shared.rule.need == 3
