Read tenants, tell no wait where none may be told, and move streams before SIGKILL

Seen, with a probe line at each refusal: every request counted toward nobody's share (count=98.9/inf) on a site with four partners, and refusals carried `Retry-After` though its settings forbid it.

Lines at fault: platform.py, read_asked (no X-Account); Exchange.refuse, busy and aio.py's refusal at the door (the header always); server.py, stop (waits for streams that outlast SIGKILL).

Change: X-Account names the tenant where the settings know it. A refusal's pause is None where `retry_after` is not allowed, in the core and at the fronts. Where clients go on elsewhere with a stream that breaks (resume), streams are broken off a few at a time, the newest first, between 0.45 and 0.92 of the time till SIGKILL; what has not begun is answered. Without resume nothing changes.

--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -128,7 +128,16 @@
     endpoint: str
 
 
-Event = Asked | Left | Began | Ended | HoldAnswered | Probed | Due | Listed | Turned | Reloaded | Judged
+@dataclass(slots=True, frozen=True)
+class Closing:
+    """A request is broken off, as the process will be killed and its client asks elsewhere for the rest."""
+
+    id: str
+
+
+Event = (
+    Asked | Left | Began | Ended | HoldAnswered | Probed | Due | Listed | Turned | Reloaded | Judged | Closing
+)
 
 
 # --- effects
@@ -185,10 +194,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Refuse:
-    """Final answer: refused, trying again is harmless, after a pause."""
+    """Final answer: refused, trying again is harmless, after a pause, None where none may be told."""
 
     id: str
-    pause: timedelta
+    pause: timedelta | None
     why: str
 
 
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -106,7 +106,7 @@
         return
     if once and state.ledger.full:
         state.figures.count(event.cls, "deferred")
-        yield ev.Refuse(event.id, timedelta(seconds=1), "the ledger of ids is full")
+        yield ev.Refuse(event.id, told_pause(state, timedelta(seconds=1)), "the ledger of ids is full")
         return
     if once:
         state.ledger.start(once)
@@ -260,10 +260,27 @@
         yield from decide(state, now, api.PeerMessage(0, Word(Symptom.DOWN, number).pack()))
 
 
+def on_closing(state: Conductor, now: timedelta, event: ev.Closing) -> Iterator[ev.Effect]:
+    """End a request: a stream that has begun is broken off, for its client to go on elsewhere.
+
+    Guards against requests that SIGKILL would leave without an answer."""
+    request = state.requests.get(event.id)
+    if request is None:
+        return
+    if not (request.closed or request.began):
+        writing = any(not attempt.over and not attempt.reads for attempt in request.attempts)
+        risky = request.unsafe and (request.may_have_run or writing)
+        state.figures.count(request.asked.cls, "errored" if risky else "deferred")
+        why = "the conductor ends"
+        yield ev.Fail(event.id, why) if risky else ev.Refuse(event.id, told_pause(state, ev.ZERO), why)
+    yield from on_left(state, now, ev.Left(event.id))
+
+
 HANDLERS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
     ev.Asked: on_asked, ev.Left: on_left, ev.Began: on_began, ev.Ended: on_ended,
     ev.HoldAnswered: on_hold_answered, ev.Probed: on_probed, ev.Due: on_due, ev.Listed: on_listed,
     ev.Turned: on_turned, ev.Reloaded: on_reloaded, ev.Judged: on_judged,
+    ev.Closing: on_closing,
 }
 
 
@@ -330,7 +347,7 @@
     if request is not None and not request.closed:
         request.closed = True
         state.figures.count(request.asked.cls, "deferred")
-        yield ev.Refuse(action.request, to_span(action.pause), "given up by the module")
+        yield ev.Refuse(action.request, told_pause(state, to_span(action.pause)), "given up by the module")
 
 
 def fail(state: Conductor, now: timedelta, action: api.Fail) -> Iterator[ev.Effect]:
@@ -353,6 +370,11 @@
 # --- helpers
 
 
+def told_pause(state: Conductor, pause: timedelta) -> timedelta | None:
+    """Give the pause that a refusal may tell its client, None where the settings allow none."""
+    return pause if state.settings.retry_after else None
+
+
 def abandon(request: Request, index: int, status: Status) -> Iterator[ev.Effect]:
     """Close an attempt's connection; it counts as given up with this status."""
     attempt = request.attempts[index]
--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -18,7 +18,7 @@
 from hoplane.decision.interface import ClassSettings, Effect, Role, Settings, State, Status
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
-from hoplane.net.server import MARGIN, Server, retry_after, target
+from hoplane.net.server import MARGIN, Server, advice, target
 from hoplane.net.wire import Call, Verdict
 
 MODEL = re.compile(r"/v2/models/([^/]+)(?:/versions/[^/]+)?(/ready|/infer)?")
@@ -35,9 +35,9 @@
 
 def problem(status: int, text: str, pause: timedelta | None = None, close: bool = False) -> web.Response:
     """Give an error as v2 words it."""
-    headers = {} if pause is None else {"Retry-After": retry_after(pause)}
     response = web.Response(
-        status=status, headers=headers, body=orjson.dumps({"error": text}), content_type="application/json"
+        status=status, headers=advice(pause), body=orjson.dumps({"error": text}),
+        content_type="application/json",
     )
     if close:
         response.force_close()
@@ -161,7 +161,7 @@
     def read_tail(self, tail: bytes) -> tuple[int, dict[str, float]]:
         return self.asked.prefix_len, {}  # v2 endpoints do not tell what they found kept
 
-    def refuse(self, pause: timedelta) -> None:
+    def refuse(self, pause: timedelta | None) -> None:
         self.sink.settle(problem(503, "refused: try again later", pause))
 
     def fail(self, clash: bool) -> None:
@@ -192,6 +192,11 @@
             self.models[name] = Runtime(self.config, self.pool, LIVE)
         self.models[name].feed(listed)
 
+    @property
+    def later(self) -> timedelta | None:
+        """Give what a refusal of the front's own tells its client, None where the settings allow nothing."""
+        return timedelta(seconds=1) if self.config.settings.retry_after else None
+
     @property
     def runtimes(self) -> list[Runtime]:
         """Give the conductors."""
@@ -224,7 +229,7 @@
             return await self.metadata(runtime, target(request))
         size = self.server.size(request)
         if not self.server.bodies.take(size):
-            return problem(503, "too much at once", timedelta(seconds=1), close=True)
+            return problem(503, "too much at once", self.later, close=True)
         try:
             return await self.infer(runtime, request)
         finally:
@@ -246,7 +251,7 @@
                 continue
             if got := await self.pool.get(endpoint.address, path, ASK_WAIT):
                 return web.Response(status=got[0], body=got[1], content_type="application/json")
-        return problem(503, "no endpoint tells of this model", timedelta(seconds=1))
+        return problem(503, "no endpoint tells of this model", self.later)
 
     async def infer(self, runtime: Runtime, request: web.BaseRequest) -> web.StreamResponse:
         """Take a request in and wait for its final answer."""
@@ -259,7 +264,7 @@
         except ValueError as error:
             return problem(400, str(error), close=True)
         if len(runtime.exchanges) >= self.config.max_open:
-            return problem(503, "too much at once", timedelta(seconds=1), close=True)
+            return problem(503, "too much at once", self.later, close=True)
         exchange = runtime.exchanges[asked.id] = Exchange(request, asked, body)
         try:
             runtime.feed(asked)
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -4,24 +4,25 @@
 
 import asyncio
 import re
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from contextlib import suppress
 from datetime import timedelta
-from math import isfinite
+from math import ceil, isfinite
 
 import orjson
 from aiohttp import web
 
 from hoplane.config import Config
-from hoplane.core.events import Asked, Endpoint, Forward, Left, Listed, Reloaded, Turned
+from hoplane.core.events import Asked, Closing, Endpoint, Forward, Left, Listed, Reloaded, Turned
 from hoplane.decision.interface import Settings, State, Status
 from hoplane.net.runtime import Runtime
-from hoplane.net.server import MARGIN, Relay, Server, StreamSink, problem, retry_after, target
+from hoplane.net.server import MARGIN, Relay, Server, StreamSink, advice, problem, target
 from hoplane.net.wire import Call, Verdict
 
 CHAT, READY = "/v1/chat/completions", "/health/ready"
 LIVE, STATS = "/health/live", "/stats"  # at endpoints
 ID, CLASS, SESSION = "X-Correlation-Id", "X-Service-Class", "X-Session-Key"
+ACCOUNT = "X-Account"  # the tenant, where the settings name any
 LEFT_MS, FACTS, REPEAT = "X-Time-Left-Ms", "X-Facts", "X-Repeat"
 LOAD, NOT_RUN = "X-Backend-Load", "X-Unprocessed"
 # A status that the protocol does not name gets nothing new.
@@ -69,8 +70,12 @@
     return load
 
 
-def read_asked(headers: Mapping[str, str], classes: Mapping[str, object]) -> Asked:
-    """Translate a request's headers; a ValueError names what is wrong."""
+def read_asked(
+    headers: Mapping[str, str], classes: Mapping[str, object], tenants: Container[str] = ()
+) -> Asked:
+    """Translate a request's headers; a ValueError names what is wrong.
+
+    A tenant that the settings do not name counts as none: it is served, within nobody's share."""
     id, cls = headers.get(ID, ""), headers.get(CLASS, "")
     if not ID_FORM.fullmatch(id):
         raise ValueError(f"{ID}: is missing or malformed")
@@ -90,12 +95,12 @@
     session, prefix = headers.get(SESSION, ""), facts.get("prefix", "")
     if max(len(session), len(prefix)) > KEY_MOST:  # guards the module's tables, which keep them for minutes
         raise ValueError(f"{SESSION} and prefix: are at most {KEY_MOST} characters")
-    repeat = headers.get(REPEAT)
+    repeat, tenant = headers.get(REPEAT), headers.get(ACCOUNT)
     return Asked(
         id, cls, lengths["prompt_len"], lengths["max_out"],
         max(timedelta(), timedelta(milliseconds=int(left)) - MARGIN),
         session or None, prefix or None, lengths["prefix_len"],
-        None, repeat is not None and repeat != "again", repeat == "again",
+        tenant if tenant in tenants else None, repeat is not None and repeat != "again", repeat == "again",
     )
 
 
@@ -144,8 +149,8 @@
         lines = LOAD_LINE.findall(tail)
         return cached(tail), read_load(lines[-1]) if lines else {}
 
-    def refuse(self, pause: timedelta) -> None:
-        self.answer(web.Response(status=503, headers={"Retry-After": retry_after(pause)}, text="refused\n"))
+    def refuse(self, pause: timedelta | None) -> None:
+        self.answer(web.Response(status=503, headers=advice(pause), text="refused\n"))
 
     def fail(self, clash: bool) -> None:
         self.answer(problem(409, "this id is in use") if clash else problem(502, "failed"))
@@ -160,8 +165,9 @@
 
     def __init__(self, config: Config, runtime: Runtime) -> None:
         self.config, self.runtime = config, runtime
-        self.classes = {cls.name: cls for cls in config.settings.classes}
+        self.know(config.settings)
         self.server, self.runtimes = Server(config, self.handle, problem), [runtime]
+        self.server.move = self.move
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
@@ -172,7 +178,7 @@
         if request.method != "POST":
             return problem(405, "only POST", close=True)
         try:
-            asked = read_asked(request.headers, self.classes)
+            asked = read_asked(request.headers, self.classes, self.tenants)
         except ValueError as error:
             return problem(400, str(error), close=True)
         size = self.server.size(request)
@@ -183,6 +189,12 @@
         finally:
             self.server.bodies.give(size)
 
+    def move(self, part: float) -> None:
+        """Break off a part of what is open, the newest first: it has the longest way to go."""
+        ids = list(self.runtime.exchanges)
+        for id in ids[len(ids) - ceil(part * len(ids)):]:
+            self.runtime.feed(Closing(id))
+
     def turned(self, asked: Asked, response: web.Response) -> web.Response:
         """Answer a request that the reducer never took, and let the core count it."""
         self.runtime.feed(Turned(asked.cls, response.status in (429, 503)))
@@ -190,12 +202,18 @@
 
     def retune(self, settings: Settings) -> None:
         """Take requests of the new classes from now on; those taken keep their rules."""
-        self.classes = {cls.name: cls for cls in settings.classes}
+        self.know(settings)
         self.runtime.feed(Reloaded(settings))
 
+    def know(self, settings: Settings) -> None:
+        """Take what the headers of requests may name."""
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self.tenants = {tenant.name for tenant in settings.tenants}
+
     def busy(self) -> web.Response:
         """Refuse before a limit is met."""
-        response = web.Response(status=503, headers={"Retry-After": "1"}, text="too much at once\n")
+        pause = timedelta(seconds=1) if self.runtime.state.settings.retry_after else None
+        response = web.Response(status=503, headers=advice(pause), text="too much at once\n")
         response.force_close()
         return response
 
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -252,9 +252,10 @@
     def data_received(self, data: bytes) -> None:
         if not self.answered:
             self.answered = True
+            advice = b"Retry-After: 1\r\n" if self.door.advises else b""
             self.transport.write(
-                b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
-                b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+                b"HTTP/1.1 503 Service Unavailable\r\n" + advice
+                + b"Connection: close\r\nContent-Length: 0\r\n\r\n"
             )
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -278,6 +279,7 @@
         self.problem, self.most, self.turned_most, self.body_most = problem, most, turned_most, body_most
         self.lingering: OrderedDict[Caller, None] = OrderedDict()
         self.turned_away: OrderedDict[TurnedAway, None] = OrderedDict()
+        self.advises = True  # whether a refusal may tell when to come back
 
     def make(self, message, payload, protocol, writer, task) -> web.BaseRequest:
         return web.BaseRequest(
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -15,6 +15,8 @@
 
 BODY_WAIT = timedelta(seconds=2.6)  # for a body: a new client is owed an error or a close within 3 s
 LINGER = timedelta(seconds=0.5)  # after SIGTERM, as clients keep coming for 0.2 to 0.4 s
+KILL_MOST, KILL_MORE = timedelta(seconds=3), timedelta(seconds=0.7)  # SIGKILL: the longest deadline, and more
+MOVE, MOVED = 0.45, 0.92  # parts of that time between which streams are moved, where they can be
 MARGIN = timedelta(milliseconds=20)  # of a client's patience, for the answer's way and a busy loop
 RETURN = timedelta(milliseconds=200)  # the least that a refused client is asked to stay away
 LAST = timedelta(seconds=2)  # for the last bytes to leave
@@ -137,12 +139,14 @@
         self.config, self.handler, self.problem = config, handler, problem
         self.bodies = Bodies(config.limits.bodies)
         self.stopping = False
+        self.move: Callable[[float], None] = lambda part: None  # breaks off a part of what is open
         self.leaving: float | None = None  # when the drain began, on the loop's clock
         self.draining: asyncio.Task | None = None
         self.open = 0
         self.door = Door(
             self.handle, problem, config.limits.clients, config.limits.turned_away, BODY_MOST
         )
+        self.door.advises = config.settings.retry_after
         self.listener: asyncio.Server | None = None
 
     def resize(self, limits: Limits) -> None:
@@ -229,9 +233,18 @@
             return problem(408, "the body did not arrive", close=True)
 
     async def stop(self) -> None:
-        """Take what still comes for a moment, then close what is idle and wait for the rest."""
-        self.stopping = True
+        """Take what still comes for a moment, then close what is idle and wait for the rest.
+
+        Where clients go on elsewhere with a stream that breaks, what is open is broken off in time. Guards
+        against streams that outlast the time till SIGKILL, which cuts them at its own moment: where
+        conductors are restarted one upon the other, the next one is then down as well, and clients find
+        nobody. Two thirds of that time lie before the next one's end, and after the last one's return."""
+        loop = asyncio.get_running_loop()
+        self.stopping, begun = True, loop.time()
         self.join()
+        longest = max(cls.deadline for cls in self.config.settings.classes) / 1e9
+        kill = min(KILL_MOST.total_seconds(), longest) + KILL_MORE.total_seconds()
+        moves, next_move = self.config.settings.resume, MOVE * kill
         # Where the platform holds the socket, the process beside us takes what comes: we may close at once.
         if self.config.inherited is None:
             await asyncio.sleep(LINGER.total_seconds())
@@ -240,6 +253,9 @@
         while self.open:
             await asyncio.sleep(0.005)
             self.door.drop_idle()
+            if moves and (now := loop.time() - begun) >= next_move:
+                next_move = now + SWEEP.total_seconds()
+                self.move(min(1.0, SWEEP.total_seconds() / max(0.001, MOVED * kill - now)))
         end = asyncio.get_running_loop().time() + LAST.total_seconds()
         while self.door.connections and asyncio.get_running_loop().time() < end:
             await asyncio.sleep(0.005)
@@ -259,8 +275,8 @@
     return response
 
 
-def retry_after(pause: timedelta) -> str:
-    """Give the header's value in decimal seconds.
+def advice(pause: timedelta | None) -> dict[str, str]:
+    """Give a refusal's headers: when to come back, in decimal seconds, none where that may not be told.
 
     Guards against a module with no advice (0), which would call clients back at once into the same jam."""
-    return f"{max(pause, RETURN).total_seconds():.3f}"
+    return {} if pause is None else {"Retry-After": f"{max(pause, RETURN).total_seconds():.3f}"}
