--- a/hoplane/shared/escrow.py
+++ b/hoplane/shared/escrow.py
@@ -93,9 +93,10 @@
         More than our part is cut: first here, and at the engine a window later."""
         part = self.budget.pool / max(1, members)
         if self.held > part + 1e-9:
-            if self.cut_at is None:
-                self.cut_at, self.slice = now, part
-            return part if now >= self.cut_at + self.budget.window else self.held
+            # Guards against a second cut within the first one's window: what it takes was spent by until now.
+            if self.cut_at is None or part < self.slice - 1e-9:
+                self.cut_at, self.slice = now, min(part, self.slice)
+            return self.slice if now >= self.cut_at + self.budget.window else self.held
         self.cut_at = None
         return max(self.held, min(part, self.budget.pool - others))
 
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -6,7 +6,7 @@
 from datetime import timedelta
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from lease_world import ms
 
@@ -103,6 +103,7 @@
 
 @SAME
 @given(RATES, OUTAGES, st.integers(0, 4000))
+@example([0.95, 0.95, 0.95], [(1, 500, 2461)], 2951)  # a cut within the window of another
 def test_the_fleet_never_spends_over_the_bound_whoever_is_cut_off(rates, outages, late):
     joins = [0, *[late] * (len(rates) - 1)]
     assert Fleet(rates, joins, outages).run(9000).most() <= BUDGET.bound
@@ -138,6 +139,16 @@
     assert purse.allowance(TERMS.span - BUDGET.window) == BUDGET.floor, "a window before the lease can end"
 
 
+def test_a_second_cut_is_written_a_window_after_itself():
+    purse = Purse(BUDGET)
+    purse.renewed(ms(0), ms(100_000))
+    purse.written(purse.wanted(ms(0), 1, 0.0))
+    purse.wanted(ms(10), 2, 0.0)
+    assert purse.wanted(ms(400), 4, 0.0) == purse.held and purse.slice == BUDGET.pool / 4
+    assert purse.wanted(ms(600), 4, 0.0) == purse.held, "not a window after the first"
+    assert purse.wanted(ms(900), 4, 0.0) == BUDGET.pool / 4
+
+
 def test_slices_follow_the_number_of_conductors():
     purse = Purse(BUDGET)
     purse.renewed(ms(0), ms(100_000))
