--- a/hoplane/lab/__main__.py
+++ b/hoplane/lab/__main__.py
@@ -51,10 +51,14 @@
 
 def played(plan: schedule.Schedule) -> dict:
     """Play one schedule and give a line of the table."""
-    found = drill.play(plan)
+    kinds = [f.what["kind"] if f.kind == "holder" else f.kind for f in plan.faults]
+    try:
+        found = drill.play(plan)
+    except TimeoutError as error:
+        return {"name": plan.name, "fenced": plan.fenced, "acts": 0, "tenures": 0, "refused": 0,
+                "faults": kinds, "wrong": [str(error)]}
     faulty = ("loop_fault", "task_broke", "library")
     wrong = found.problems + [str(line) for line in found.events if line["event"] in faulty]
-    kinds = [f.what["kind"] if f.kind == "holder" else f.kind for f in plan.faults]
     return {"name": plan.name, "fenced": plan.fenced, "acts": len(found.acts),
             "tenures": len(found.tenures()), "refused": found.refused, "faults": kinds, "wrong": wrong}
 
--- a/hoplane/lab/drill.py
+++ b/hoplane/lab/drill.py
@@ -89,7 +89,7 @@
         self.name, self.folder, self.engine, self.acts = f"c{who}", folder, engine, acts
         self.address = own_address(who)
         self.file, self.log = folder / f"c{who}.toml", folder / f"c{who}.log"
-        self.starts = 0
+        self.starts, self.killed = 0, False
         (folder / f"{self.name}-clusters.json").write_bytes(orjson.dumps({"resources": [
             {"@type": "type.googleapis.com/envoy.config.cluster.v3.Cluster", "name": "m", "type": "EDS",
              "metadata": {"filter_metadata": {"hoplane": {"kind": "mixed"}}}}]}))
@@ -154,12 +154,14 @@
             it.signal(signal.SIGSTOP)
             await asyncio.sleep(fault.length)
             it.signal(signal.SIGCONT)
-        case "kill":
+        case "kill" if not it.killed:  # else an earlier fault has killed it, and starts it again
+            it.killed = True
             it.signal(signal.SIGCONT)
             it.signal(signal.SIGKILL)
             await it.process.wait()
             await asyncio.sleep(fault.length)
             await it.start()
+            it.killed = False
         case "engine":
             await engine.apply(fault.what)
             await asyncio.sleep(fault.length)
--- a/hoplane/lab/link.py
+++ b/hoplane/lab/link.py
@@ -94,7 +94,7 @@
                 if answer.headers.get("Transfer-Encoding") == "chunked":
                     return await self.stream(request, answer)
                 read = await answer.read()
-        except (aiohttp.ClientError, OSError):
+        except (aiohttp.ClientError, OSError, RuntimeError):  # the last: our own session is closed at the end
             return broken(request)
         await asyncio.sleep(self.drawn("reply_ms"))
         if self.loses("drop_replies"):
