--- a/hoplane/lab/share_bench.py
+++ b/hoplane/lab/share_bench.py
@@ -15,7 +15,7 @@
 from hoplane.shared.sharing import Sharing
 from hoplane.shared.verdicts import Rule
 
-from .bench import Row, beside, figures
+from .bench import Row, Silent, beside, figures
 from .engine import Engine
 from .fleet import BOUND, DRIFT, SLACK, TTL, WINDOW_MS, Fleet, most_in, sharing
 from .schedule import Fault, Schedule
@@ -71,6 +71,8 @@
                     timedelta(milliseconds=200), clock(), at)
             for at in range(conductors)
         ]
+        for member in members:
+            member.log = Silent()
         purses = [member.budget("cold/x", budget) for member in members]
         begun, tasks = time.monotonic(), [asyncio.create_task(member.run()) for member in members]
         third = members[: conductors // 3]
