Let some conductors hold a whole send where a budget is smaller than the fleet

Cause: escrow.py, wanted(): each one's part, floor and slice, came to 0.4 of a send, and a send is whole. Now the pool goes to as many conductors as it has room for, each with what a whole send needs; the others hold nothing. The sum stays under the pool, by the same guard. The test of 50 purses fails before. Fleets whose parts come to a whole send are as they were.

--- a/hoplane/shared/escrow.py
+++ b/hoplane/shared/escrow.py
@@ -91,14 +91,18 @@
         """Give what should be written for us, by how many live and what others hold.
 
         More than our part is cut: first here, and at the engine a window later."""
-        part = self.budget.pool / max(1, members)
+        whole = 1.0 - self.budget.floor  # with the floor, what one whole unit needs
+        # Guards against a fleet so large that nobody's part comes to a unit, and nothing would be spent:
+        # then as many conductors as the pool has room for hold what a unit needs, and the others nothing.
+        part = max(self.budget.pool / max(1, members), min(whole, self.budget.pool))
         if self.held > part + 1e-9:
             # Guards against a second cut within the first one's window: what it takes was spent by until now.
             if self.cut_at is None or part < self.slice - 1e-9:
                 self.cut_at, self.slice = now, min(part, self.slice)
             return self.slice if now >= self.cut_at + self.budget.window else self.held
         self.cut_at = None
-        return max(self.held, min(part, self.budget.pool - others))
+        room = min(part, self.budget.pool - others)
+        return max(self.held, room if room >= whole - 1e-9 else 0.0)
 
     def written(self, amount: float) -> None:
         """Take in that the engine has written this amount for us."""
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -139,6 +139,17 @@
     assert purse.allowance(TERMS.span - BUDGET.window) == BUDGET.floor, "a window before the lease can end"
 
 
+def test_in_a_fleet_larger_than_the_bound_some_hold_what_a_whole_send_needs():
+    budget = Budget(bound=20, window=ms(500), most=50, reserve=0.3)
+    purses, held = [Purse(budget) for _ in range(50)], []
+    for purse in purses:
+        purse.renewed(ms(0), ms(100_000))
+        purse.written(purse.wanted(ms(0), 50, sum(held)))
+        held.append(purse.held)
+    spending = sum(purse.may_spend(ms(1)) for purse in purses)
+    assert spending == 15 and sum(held) <= budget.pool
+
+
 def test_a_second_cut_is_written_a_window_after_itself():
     purse = Purse(BUDGET)
     purse.renewed(ms(0), ms(100_000))
