Take out what nothing uses, and work out once what is known of a prompt

A read of the whole change: the patrol's Seen and counters, the link's counters and a drill's gap were used nowhere; Kept.unread and learn looked up the session and the beginning twice for each server, on the path of every request. Seen and left: lab/drill.py's settings stand beside those that hoplane.tool writes, as a drill must not change with what the tool writes for applications.

--- a/hoplane/decision/kept.py
+++ b/hoplane/decision/kept.py
@@ -35,7 +35,12 @@
 
     def raw(self, job: Job, server: Server) -> int:
         """Give the tokens that we do not know to be kept."""
-        ours, here, _, _ = self.known(job, server)
+        return self.left(job, self.known(job, server))
+
+    @staticmethod
+    def left(job: Job, known: Known) -> int:
+        """Give the tokens that are left of a prompt by what we know."""
+        ours, here, _, _ = known
         kept = job.request.prefix_len if here else 0
         return max(0, job.request.prompt - max(kept, job.row.read if ours else 0))
 
@@ -46,12 +51,13 @@
         if known in self.means and not self.wary:
             guessed, read = self.means[known]
             part = min(1.0, read.value / max(1.0, guessed.value))
-        return round(self.raw(job, server) * part)
+        return round(self.left(job, known) * part)
 
     def learn(self, job: Job, server: Server, read: int, now: int) -> None:
         """Take in what a finished read had to read, before the server's own record of it is renewed."""
-        pair = self.means.setdefault(self.known(job, server), (Mean(), Mean()))
-        for mean, sample in zip(pair, (self.raw(job, server), read), strict=True):
+        known = self.known(job, server)
+        pair = self.means.setdefault(known, (Mean(), Mean()))
+        for mean, sample in zip(pair, (self.left(job, known), read), strict=True):
             mean.add(sample, WEIGHT)
         prefix = job.request.prefix or ""
         self.seen.pop(prefix, None)
--- a/hoplane/lab/drill.py
+++ b/hoplane/lab/drill.py
@@ -56,12 +56,6 @@
         """Give the tokens under which something was done, in order."""
         return list(dict.fromkeys(act.token for act in sorted(self.acts, key=lambda act: act.begun)))
 
-    def gap(self, after: float) -> float | None:
-        """Give the seconds from a moment (of `time.monotonic`) to the first act of a later tenure."""
-        before = [act.token for act in self.acts if act.begun <= after]
-        later = [act.begun for act in self.acts if act.begun > after and act.token not in before]
-        return min(later) - after if later else None
-
 
 def own_address(who: int) -> str:
     """Give a loopback address of this process's own, so that drills side by side never meet."""
--- a/hoplane/lab/link.py
+++ b/hoplane/lab/link.py
@@ -35,7 +35,6 @@
         self.target, self.rng = target, random.Random(seed)
         self.faults = dict(HEALED)
         self.cut = asyncio.Event()
-        self.passed = self.lost = 0
         self.beside: set[asyncio.Task] = set()
 
     async def __aenter__(self) -> Link:
@@ -71,9 +70,7 @@
         try:
             await asyncio.wait({passing, cutting}, return_when=asyncio.FIRST_COMPLETED)
             if passing.done() and (response := passing.result()) is not None:
-                self.passed += 1
                 return response
-            self.lost += 1
             await asyncio.sleep(LOST)
             return broken(request)
         finally:
--- a/hoplane/lease/patrol.py
+++ b/hoplane/lease/patrol.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from datetime import timedelta
 
 import aiohttp
@@ -20,14 +19,6 @@
 STALE = 412
 
 
-@dataclass(slots=True, frozen=True)
-class Seen:
-    """What an endpoint showed: `well`, `ill` (an error), `silent` or `down`."""
-
-    endpoint: str
-    state: str
-
-
 class Patrol:
     """Goes round the endpoints while the lease is held."""
 
@@ -36,7 +27,6 @@
     ) -> None:
         self.keeper, self.every, self.path, self.endpoints = keeper, every, path, endpoints
         self.seen: dict[str, str] = {}
-        self.rounds = self.refused = 0
         self.log = slog.logger(name=keeper.name)
 
     async def run(self) -> None:
@@ -47,8 +37,6 @@
                 for name, address in self.endpoints():
                     if not await self.visit(session, name, address):
                         break
-                else:
-                    self.rounds += 1
                 await asyncio.sleep(self.every.total_seconds())
 
     async def visit(self, session: aiohttp.ClientSession, name: str, address: str) -> bool:
@@ -58,7 +46,6 @@
                 return False
             state = await self.ask(session, address, token)
         if state is None:
-            self.refused += 1
             self.log.info("patrol_stale", endpoint=name, token=token)
             return False
         if self.seen.get(name) != state:
@@ -67,7 +54,9 @@
         return True
 
     async def ask(self, session: aiohttp.ClientSession, address: str, token: int) -> str | None:
-        """Give what the endpoint shows, None where it has seen a higher token."""
+        """Give what the endpoint shows: `well`, `ill` (an error), `silent` or `down`.
+
+        None where it has seen a higher token."""
         limit = aiohttp.ClientTimeout(total=self.keeper.terms.act.total_seconds())
         headers = {"X-Fencing-Token": str(token), "X-Holder": self.keeper.name}
         try:
