Ask a silent agent again within the drain's grace, not by a queue of 200 conductors

Cause: core/pacing.py. After 3 s of silence a conductor of 200 paused 60 ms x 197 x (0.5 to 1.5) = 6 to 18 s, for the turns of a discovery that is asked and has a fixed capacity. These deployments push lists: the agent is on the conductor's machine, answers at once, and what it has counts as told.

Change: pacing reads the kind of discovery and the grace from the settings. Pushed: silence shows within 0.55 of the grace, a silent agent is asked for what there is, and a call that was cut off, a pause and the next call take 0.45 of the grace at most. A reload's watch reads them anew.

Tests, seen to fail with the code before: a program told of 230 conductors met a drain after 11.9 s (pushed, wants 4) and after 14.4 s (asked, wants 7); `started` came before the first list. test_sighup_... failed once with status 255: Popen.send_signal reaps the process it polls, so the test kills by its id now.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -94,7 +94,7 @@
         path = platform.probe_path(config.settings)
         runtime = Runtime(config, self.pool, path, platform.hold_path, platform.read_load)
         address = "{}:{}".format(*config.discovery)
-        pacing = Pacing(config.settings.routers, random.Random(config.seed))
+        pacing = Pacing(config.settings, random.Random(config.seed))
         watch = Discovery(self.pool, address, platform.read_list, runtime.feed, pacing)
         if config.known.get("endpoints"):
             try:
@@ -146,6 +146,7 @@
     async def serve(self) -> None:
         """Serve until a signal asks for the end, and then to the end of what was taken."""
         stop = asyncio.Event()
+        await self.watch.first()
         await self.front.server.start()
         if self.operator:
             await self.operator.start()
--- a/hoplane/net/discovery.py
+++ b/hoplane/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from datetime import timedelta
 
 import orjson
@@ -11,7 +12,7 @@
 from hoplane import log
 from hoplane.config import Config
 from hoplane.core.events import Listed
-from hoplane.core.pacing import WAIT, Pacing
+from hoplane.core.pacing import Pacing
 from hoplane.net.pool import Pool
 
 
@@ -25,13 +26,15 @@
         self.pacing = pacing
         self.index: int | None = None
         self.failing = False
+        self.heard = asyncio.Event()  # set with the first answer
 
     def __str__(self) -> str:
         return self.address
 
     def moved(self, config: Config) -> Discovery:
         """Give a new configuration's watch: another agent may number lists anew, so it asks for all."""
-        return Discovery(self.pool, "{}:{}".format(*config.discovery), self.read, self.feed, self.pacing)
+        pacing = Pacing(config.settings, self.pacing.rng)
+        return Discovery(self.pool, "{}:{}".format(*config.discovery), self.read, self.feed, pacing)
 
     def take(self, answer: object) -> int:
         """Take an answer in: a whole list replaces all, changes apply to a list we have. Gives its lines."""
@@ -48,29 +51,46 @@
             self.feed(listed)
         return len(listed.endpoints)
 
+    async def first(self) -> None:
+        """Wait for the first answer, unless discovery is silent: then what is known has to do.
+
+        Guards against requests that go by a list as old as the process before: what came since counts as told
+        from this one's first moment."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self.pacing.first.total_seconds()):
+                await self.heard.wait()
+
     async def watch(self) -> None:
         """Watch until cancelled."""
         while True:
-            path = "/registry/instances"
-            if self.index is not None:
-                path += f"?since={self.index}&timeout_ms={WAIT // timedelta(milliseconds=1)}"
-            self.pool.tally["lists" if self.index is None else "watches"] += 1
-            try:
-                async with asyncio.timeout(self.pacing.patience.total_seconds()):
-                    async with self.pool.request("GET", self.address, path) as answer:
-                        body = await answer.read()
-                if answer.status != 200:
-                    raise ValueError(f"status {answer.status}")
-                self.pool.tally["list_lines"] += self.take(orjson.loads(body))
-            except Exception as error:
-                self.pool.tally["watches_failed"] += 1
-                # Guards against an answer of any form that would end the watch, and with it the list, unseen.
-                if not self.failing:
-                    log.say("discovery_lost", error=repr(error))
-                self.failing = True
-                await asyncio.sleep(self.pacing.failed().total_seconds())
-                continue
-            self.pacing.answered()
-            if self.failing:
-                log.say("discovery_back", index=self.index)
-            self.failing = False
+            silent = await self.ask()
+            if silent is None:
+                self.pacing.answered()
+                self.heard.set()
+                if self.failing:
+                    log.say("discovery_back", index=self.index)
+                self.failing = False
+            else:
+                await asyncio.sleep(self.pacing.failed(silent).total_seconds())
+
+    async def ask(self) -> bool | None:
+        """Make one call and take its answer in; where that fails, tell whether nobody answered."""
+        path, (wait, patience) = "/registry/instances", self.pacing.call()
+        if self.index is not None:
+            path += f"?since={self.index}&timeout_ms={wait // timedelta(milliseconds=1)}"
+        self.pool.tally["lists" if self.index is None else "watches"] += 1
+        try:
+            async with asyncio.timeout(patience.total_seconds()):
+                async with self.pool.request("GET", self.address, path) as answer:
+                    body = await answer.read()
+            if answer.status != 200:
+                raise ValueError(f"status {answer.status}")
+            self.pool.tally["list_lines"] += self.take(orjson.loads(body))
+        except Exception as error:
+            self.pool.tally["watches_failed"] += 1
+            # Guards against an answer of any form that would end the watch, and with it the list, unseen.
+            if not self.failing:
+                log.say("discovery_lost", error=repr(error))
+            self.failing = True
+            return isinstance(error, TimeoutError)
+        return None
--- a/hoplane/xds.py
+++ b/hoplane/xds.py
@@ -174,6 +174,9 @@
         self.told = found
         return None
 
+    async def first(self) -> None:
+        """Have nothing to wait for: at the start the files have been read."""
+
     async def watch(self) -> None:
         """Look until cancelled."""
         while True:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import signal
 from contextlib import asynccontextmanager, suppress
 
@@ -279,7 +280,7 @@
 def test_one_of_many_keeps_its_turn_at_a_discovery_that_is_slow(tmp_path):
     """Guards against calls given up and made anew, which hold an overbooked discovery down for all."""
     async def test():
-        async with desk(tmp_path, settings={**SETTINGS, "balancers": 40}) as program:
+        async with desk(tmp_path, settings={**SETTINGS, "balancers": 40, "discovery": "ask"}) as program:
             async def slow(call, writer):
                 await asyncio.sleep(1.2)
                 body = {"index": 9, "endpoints": [{**program.entries[0], "status": "Gone"}]}
@@ -340,6 +341,40 @@
     run(test())
 
 
+@pytest.mark.parametrize(("kind", "grace", "silent", "most"), [("push", 4, 2.5, 4), ("ask", 1, 0, 7)])
+def test_one_of_230_meets_a_drain_in_time_when_discovery_was_silent(tmp_path, kind, grace, silent, most):
+    """Pushed: what the agent gets at the return counts at once. Asked for: 6 s after a watch fell silent."""
+    settings = {**SETTINGS, "balancers": 230, "discovery": kind, "rules": {"drain_grace": grace * 10**9}}
+
+    async def test():
+        async with desk(tmp_path, settings=settings) as program:
+            await program.discovery.wait_for("GET /registry/instances?since=1")
+            program.discovery.play, play = hang, program.discovery.play
+            heard = len(program.discovery.calls)
+            await program.discovery.wait_for("GET /registry", heard + 1)
+            await asyncio.sleep(silent)
+            program.discovery.play = play
+            begun = asyncio.get_running_loop().time()
+            await program.discovery.tell([{**program.entries[0], "status": "Terminating"}])
+            while (await program.line("endpoints"))["not_live"] != {"r1": "draining"}:
+                pass
+            assert asyncio.get_running_loop().time() - begun < most
+    run(test())
+
+
+def test_a_start_takes_the_list_before_it_takes_clients(tmp_path):
+    """What came since the process before ended counts as told from the first moment; `known` is older."""
+    old = entry("r1", "127.0.0.1:9", "prefill"), entry("w1", "127.0.0.1:9", "decode")
+    listed = [{**old[0], "status": "Terminating"}, old[1]]
+
+    async def test():
+        known = {"index": 0, "snapshot": True, "endpoints": old}
+        async with platform(tmp_path, listed, known=known) as program:
+            states = [line["not_live"] for line in program.log if line["event"] == "endpoints"]
+            assert states == [{}, {"r1": "draining"}], "both before the line `started`"
+    run(test())
+
+
 def test_a_reload_moves_the_watch_and_a_bad_file_changes_nothing(tmp_path):
     async def test():
         async with Server(write_it) as second, desk(tmp_path) as program:
@@ -379,7 +414,8 @@
             await program.line("reloaded")
             assert (await within(read_message(reader)))[0].split()[1] == "503"
             while program.process.returncode is None:  # up to the very end
-                program.process.send_signal(signal.SIGHUP)
+                with suppress(ProcessLookupError):  # its own send_signal takes the end from who waits
+                    os.kill(program.process.pid, signal.SIGHUP)
                 await asyncio.sleep(0)
                 with suppress(TimeoutError):
                     await asyncio.wait_for(asyncio.shield(program.process.wait()), 0.002)
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -7,6 +7,7 @@
 from datetime import timedelta
 from types import SimpleNamespace
 
+from conftest import settings
 from standins import SETTINGS, Server, entry, message, within
 
 from hoplane.config import platform
@@ -180,7 +181,7 @@
 
 def test_discovery_applies_lists_and_changes_and_asks_anew_after_a_step_back():
     told = []
-    watch = Discovery(None, "", read_list, told.append, Pacing(1, random.Random(1)))
+    watch = Discovery(None, "", read_list, told.append, Pacing(settings(), random.Random(1)))
     one, two = entry("a", "127.0.0.1:1", "prefill"), entry("b", "127.0.0.1:2", "decode", "Odd")
     watch.take({"index": 5, "snapshot": True, "endpoints": [one]})
     watch.take({"index": 7, "snapshot": False, "endpoints": [two]})
