Let go of what is held in time though writers are cut off, and send nothing past a drain

Change, each at its spot: the reducer keeps the time since which a request may have left something and has it released 0.1 s before release_within is over, attempt out or not (what an attempt waits for is kept, by the protocol); what a cut read left is released at once though another read follows; a release goes first to who answered, then across zones, round after round until one has taken it (core/release.py, pure).

What may go is asked once more as the first byte goes (Sending in net/pool.py). A place is no longer asked for after its read has ended, and nobody waits 1 s for a lost answer.

Bad lists: an entry that cannot be read changes nothing, is told by place and name, and hides no other entry; a list that went back is told. A program told of 1,100 conductors and 1,100 endpoints is tested for memory and descriptors.

Tests, seen to fail with the code before: a release that is refused everywhere for 0.2 s, one with no socket left, a place at a writer told to drain, a place after its read, a real program whose connection comes up after the drain, the reducer's time. Two tests of places now end the read once the place was asked for.

--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -100,10 +100,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Listed:
-    """The list of endpoints, whole or the entries that changed."""
+    """The list of endpoints, whole or the entries that changed.
+
+    `unread` names those whose entries could not be read: what was known of them stays."""
 
     endpoints: tuple[Endpoint, ...]
     whole: bool
+    unread: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
@@ -184,11 +187,10 @@
 
 @dataclass(slots=True, frozen=True)
 class LetGo:
-    """Release what is held for a request; any endpoint takes the call, the likeliest come first."""
+    """Release what is held for a request: any endpoint takes the call; those that had part in it first."""
 
     id: str
     endpoints: tuple[Endpoint, ...]
-    within: timedelta
     wait: timedelta = ZERO
 
 
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -17,10 +17,12 @@
 from hoplane.decision.state import retune
 from hoplane.decision.words import Symptom, Word
 
+ANSWERED = (Status.OK, Status.MISS, Status.FULL, Status.ERROR)
 MAY_HAVE_RUN = (Status.OK, Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
-SETTLE = timedelta(milliseconds=15)  # a release waits so long after a read was cut off: the close goes ahead
+SETTLE = timedelta(milliseconds=15)  # a release waits so long after a cut: the close goes ahead of it
+HELD = timedelta(milliseconds=500)  # how long something may be held where the settings name no limit
+EARLY = timedelta(milliseconds=100)  # a release begins so long before that, for its way and a busy loop
 BACKSTOP = timedelta(milliseconds=5)  # after the deadline, which the module sees to by itself
-HELD = timedelta(milliseconds=500)  # how long a release is tried where the settings name no limit
 
 
 @dataclass(slots=True)
@@ -32,6 +34,7 @@
     sent: timedelta
     began: bool = False
     over: bool = False
+    answered: bool = False  # its endpoint was reached, as it answered
     abandoned: Status | None = None  # how it counts once its connection is closed
 
 
@@ -48,11 +51,19 @@
     began: bool = False
     closed: bool = False  # the client has its answer, is getting it, or is gone
     holds: int = 0  # calls out that ask for a place
-    held_at: int | None = None  # the writer that was asked last
-    cut: bool = False  # a read was cut off: what it left may show up a moment later
+    cut: bool = False  # an attempt or a place asked for was cut off: what it left may show a moment later
+    left: timedelta | None = None  # since when what it left may be held, None while a release is out
     may_have_run: bool = False
 
 
+@dataclass(slots=True, frozen=True)
+class Held:
+    """The timer of what a request left at a time: it has to be let go of unless an answer has begun."""
+
+    id: str
+    left: timedelta
+
+
 @dataclass
 class Conductor:
     """The state that `reduce` changes."""
@@ -65,6 +76,22 @@
     fleet: dict[int, ev.Endpoint] = field(default_factory=dict)
     figures: Figures = field(default_factory=Figures)
 
+    def takes(self, endpoint: ev.Endpoint) -> bool:
+        """Tell whether an endpoint is listed as one that may have new work."""
+        listed = self.fleet.get(self.numbers.get(endpoint.name))
+        return listed is not None and listed.state is api.State.LIVE
+
+    def began(self, id: str) -> bool:
+        """Tell whether a request's answer has begun, with which all that was held for it is let go of."""
+        request = self.requests.get(id)
+        return request is not None and request.began
+
+    def hold_time(self) -> timedelta:
+        """Give how long something may be held before its release begins."""
+        told = self.settings.release_within
+        limit = HELD if told is None else to_span(told)
+        return max(limit / 2, limit - EARLY)
+
     def number(self, name: str) -> int:
         """Give an endpoint's number: the same at every conductor, as the module's ring hashes it."""
         if name not in self.numbers:
@@ -142,6 +169,7 @@
         return
     attempt = request.attempts[event.attempt]
     attempt.began = request.began = True
+    request.left = None
     yield from decide(state, now, api.FirstToken(
         event.id, event.attempt, attempt.server, to_ns(now - attempt.sent)
     ))
@@ -156,17 +184,20 @@
     status = event.status
     if status is Status.CANCELLED and attempt.abandoned is not None:
         status = attempt.abandoned
-    attempt.over = True
+    attempt.over, attempt.answered = True, status in ANSWERED
     if event.written and status is not Status.CONNECT_FAILED:
         state.figures.sends += 1
     if attempt.began:
         state.figures.count(request.asked.cls, "answered" if status is Status.OK else "errored")
     if attempt.began or status is Status.OK:
         request.closed = True
-    if attempt.reads and status in MAY_HAVE_RUN:
+    if status in MAY_HAVE_RUN:
         request.cut = True
     if not attempt.reads and status in MAY_HAVE_RUN:
         request.may_have_run = True
+    yield from overdue(state, now, request)
+    if not request.began and status is not Status.CONNECT_FAILED:
+        yield from leave(state, now, request, attempt, status)
     yield from decide(state, now, api.Outcome(
         event.id, event.attempt, attempt.server, status, to_ns(now - attempt.sent),
         request.closed, event.note, event.load,
@@ -175,12 +206,15 @@
 
 
 def on_hold_answered(state: Conductor, now: timedelta, event: ev.HoldAnswered) -> Iterator[ev.Effect]:
-    """Tell the module of a place while the read is out; one that comes too late is let go."""
+    """Tell the module of a place while the read is out; one that may be held unknown is let go at the end."""
     request = state.requests.get(event.id)
     if request is None:
         return
     request.holds -= 1
+    request.cut = request.cut or event.held is None
     attempt = request.attempts[event.attempt]
+    if event.held is not False and attempt.over and not request.began:
+        yield from note_left(state, now, request)
     if event.held is not None and not attempt.over:
         yield from decide(state, now, api.Place(event.id, event.attempt, attempt.server, event.held))
     elif request.closed and not request.began and event.held is not False:
@@ -199,6 +233,10 @@
     if isinstance(event.timer, int):
         yield from decide(state, now, api.Timer(event.timer))
         return
+    if isinstance(event.timer, Held):
+        if (request := state.requests.get(event.timer.id)) and request.left == event.timer.left:
+            yield from overdue(state, now, request)
+        return
     id, attempt, taken = event.timer
     request = state.requests.get(id)
     # Guards against a timer of an earlier request with the same id, which would end this one.
@@ -218,6 +256,8 @@
     """Bring the fleet level. An endpoint of a kind that the settings do not name is left out."""
     kinds = {kind.name for kind in state.settings.kinds}
     known = {state.number(each.name): each for each in event.endpoints if each.kind in kinds}
+    kept = {state.numbers.get(name) for name in event.unread} & set(state.fleet)
+    known = {**{number: state.fleet[number] for number in kept}, **known}
     if event.whole:
         for number in set(state.fleet) - set(known):
             del state.fleet[number]
@@ -317,7 +357,6 @@
     if request is None or endpoint is None or not request.attempts or request.attempts[-1].over:
         return
     request.holds += 1
-    request.held_at = action.server
     yield ev.AskHold(action.request, len(request.attempts) - 1, endpoint)
 
 
@@ -383,16 +422,43 @@
         yield ev.Abandon(request.asked.id, index)
 
 
+def leave(
+    state: Conductor, now: timedelta, request: Request, attempt: Attempt, status: Status
+) -> Iterator[ev.Effect]:
+    """See to what an attempt that ended may have left. What a cut read left is of no use to anybody."""
+    if attempt.reads and status in MAY_HAVE_RUN:
+        yield let_go(state, request)
+    elif attempt.answered or request.left is None:
+        # Guards against a writer that never saw the request, as it was cut off: the older time goes on.
+        yield from note_left(state, now, request)
+
+
+def note_left(state: Conductor, now: timedelta, request: Request) -> Iterator[ev.Effect]:
+    """Note that something may be held from now on."""
+    request.left = now
+    yield ev.Wake(now + state.hold_time(), Held(request.asked.id, now))
+
+
+def overdue(state: Conductor, now: timedelta, request: Request) -> Iterator[ev.Effect]:
+    """Let go of what has been held for as long as may be, though an attempt at a writer may be out.
+
+    Guards against writers that are cut off: no attempt reaches one, each looks as if it were out, and what
+    was read stays held meanwhile. What an attempt does wait for is not let go of by it, by the protocol; a
+    read waits for no place, so while one is out nothing is overdue."""
+    reading = any(attempt.reads and not attempt.over for attempt in request.attempts)
+    if request.left is not None and now >= request.left + state.hold_time() and not reading:
+        yield let_go(state, request)
+
+
 def let_go(state: Conductor, request: Request) -> ev.LetGo:
-    """Ask for a release: at the endpoints that had part in the request first, then at any other."""
-    numbers = [attempt.server for attempt in reversed(request.attempts)]
-    if request.held_at is not None:
-        numbers.append(request.held_at)
-    order = [n for n in dict.fromkeys([*numbers, *state.fleet]) if n in state.fleet]
-    release_within = state.settings.release_within
-    within = HELD if release_within is None else to_span(release_within)
-    endpoints = tuple(state.fleet[n] for n in order)
-    return ev.LetGo(request.asked.id, endpoints, within, SETTLE if request.cut else ev.ZERO)
+    """Ask for a release, first at the endpoints that had part in the request and answered, then the last one.
+
+    Guards against asking one after the other of those that could not be reached, while the time runs."""
+    request.left = None
+    last = [attempt.server for attempt in request.attempts[-1:] if attempt.abandoned]
+    answered = [attempt.server for attempt in reversed(request.attempts) if attempt.answered]
+    endpoints = tuple(state.fleet[n] for n in dict.fromkeys([*answered, *last]) if n in state.fleet)
+    return ev.LetGo(request.asked.id, endpoints, SETTLE if request.cut else ev.ZERO)
 
 
 def sweep_up(state: Conductor, now: timedelta, id: str) -> Iterator[ev.Effect]:
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -12,6 +12,7 @@
 import orjson
 from aiohttp import web
 
+from hoplane import log
 from hoplane.config import Config
 from hoplane.core.events import Asked, Closing, Endpoint, Forward, Left, Listed, Reloaded, Turned
 from hoplane.decision.interface import Settings, State, Status
@@ -25,7 +26,6 @@
 ACCOUNT = "X-Account"  # the tenant, where the settings name any
 LEFT_MS, FACTS, REPEAT = "X-Time-Left-Ms", "X-Facts", "X-Repeat"
 LOAD, NOT_RUN = "X-Backend-Load", "X-Unprocessed"
-# A status that the protocol does not name gets nothing new.
 STATES = {"Ready": State.LIVE, "Terminating": State.DRAINING, "Gone": State.GONE}
 ID_FORM = re.compile(r"[A-Za-z0-9_.:-]{1,128}")
 KEY_MOST = 256
@@ -44,19 +44,40 @@
 
 
 def read_list(answer: dict) -> Listed:
-    """Translate discovery's list."""
-    try:
-        endpoints = tuple(
-            Endpoint(
-                each["name"], each["address"], each["zone"], each["type"], int(each["group"]),
-                STATES.get(each["status"], State.DRAINING), float(each.get("weight", 1.0)),
-                timedelta(milliseconds=each.get("since_ms", 0)),
-            )
-            for each in answer["endpoints"]
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        raise ValueError(f"the list is malformed: {error!r}") from None
-    return Listed(endpoints, bool(answer.get("snapshot")))
+    """Translate discovery's list. An entry that cannot be read is told in the log and changes nothing.
+
+    Guards against one bad entry that would hide all others, a drain among them."""
+    entries = answer.get("endpoints")
+    if not isinstance(entries, list):
+        raise ValueError("the list is malformed: endpoints must be a list")
+    endpoints, unread = [], []
+    for at, each in enumerate(entries):
+        try:
+            endpoints.append(read_entry(each))
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
+            name = each.get("name") if isinstance(each, dict) else None
+            unread.append(str(name))
+            log.seldom("list_entry_bad", entry=at, endpoint=name, error=repr(error))
+    return Listed(tuple(endpoints), bool(answer.get("snapshot")), tuple(unread))
+
+
+def read_entry(each: dict) -> Endpoint:
+    """Translate an entry of the list; a status that the protocol does not name gets nothing new."""
+    status = text(each, "status")
+    if status not in STATES:
+        log.seldom("list_entry_bad", endpoint=each["name"], error=f"status {status!r} is not known: drains")
+    return Endpoint(
+        text(each, "name"), text(each, "address"), text(each, "zone"), text(each, "type"), int(each["group"]),
+        STATES.get(status, State.DRAINING), float(each.get("weight", 1.0)),
+        timedelta(milliseconds=each.get("since_ms", 0)),
+    )
+
+
+def text(each: dict, key: str) -> str:
+    """Give a text that must be there."""
+    if not isinstance(value := each[key], str) or not value:
+        raise ValueError(f"{key} must be a text")
+    return value
 
 
 def read_load(text: str | bytes) -> dict[str, float]:
--- a/hoplane/net/discovery.py
+++ b/hoplane/net/discovery.py
@@ -43,6 +43,7 @@
         whole = bool(answer.get("snapshot"))
         if not whole and self.index is not None and answer["index"] < self.index:
             # Guards against an agent that started anew: its changes belong to a list that we do not have.
+            log.say("list_went_back", index=answer["index"], known=self.index)
             self.index = None
             return 0
         listed = self.read(answer)
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
 from datetime import timedelta
 from weakref import WeakSet
@@ -22,6 +22,18 @@
 IDLE_SHARE = 0.5  # of the endpoints' idle time: what is written to a connection later may end as a reset
 
 
+class Drained(aiohttp.ClientConnectionError):
+    """A call that was not sent, as its endpoint had been told to drain while a connection to it came up."""
+
+
+class Sending(asyncio.Event):
+    """Set once a call's first bytes may have gone; `may` tells, just before they go, whether they may."""
+
+    def __init__(self, may: Callable[[], bool] = lambda: True) -> None:
+        super().__init__()
+        self.may = may
+
+
 class Pool:
     """A client session that never waits for a connection, resends nothing and counts its sockets."""
 
@@ -78,13 +90,18 @@
         yield body[-1:]
 
     @staticmethod
-    async def sent(session: object, context: asyncio.Event | None, params: object) -> None:
-        """Note that bytes of a call are on their way."""
-        if context is not None:
+    async def sent(session: object, context: Sending | None, params: object) -> None:
+        """Note that bytes of a call are on their way; what may not go any more ends here, with none written.
+
+        Guards against the time between a decision and its first byte: a connection that came up late, a place
+        asked for once a read is sent, a loop that is behind."""
+        if context is not None and not context.is_set():
+            if not context.may():
+                raise Drained("told to drain since")
             context.set()
 
-    def request(self, method: str, address: str, path: str, sent: asyncio.Event | None = None, **more):
-        """Send a call; `sent` is set once its first bytes may have gone."""
+    def request(self, method: str, address: str, path: str, sent: Sending | None = None, **more):
+        """Send a call; `sent` is set once its first bytes may have gone, and asked before they go."""
         # Guards against yarl writing a path or query anew: it passes on as it came.
         url = URL(f"http://{address}{path}", encoded=True)
         return self.session.request(
@@ -100,11 +117,13 @@
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
 
-    async def call(self, method: str, address: str, path: str, within: timedelta) -> int | None:
+    async def call(
+        self, method: str, address: str, path: str, within: timedelta, sent: Sending | None = None
+    ) -> int | None:
         """Make a call without a body and give the answer's status, None where none came."""
         try:
             async with asyncio.timeout(within.total_seconds()):
-                async with self.request(method, address, path) as answer:
+                async with self.request(method, address, path, sent) as answer:
                     await answer.read()
                     return answer.status
         except (aiohttp.ClientError, TimeoutError, OSError):
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -14,6 +14,7 @@
 from hoplane import log
 from hoplane.config import Config
 from hoplane.core import events as ev
+from hoplane.core import release as releasing
 from hoplane.core.border import to_ns
 from hoplane.core.figures import dump
 from hoplane.core.ledger import Ledger
@@ -22,13 +23,12 @@
 from hoplane.decision.rules import Router
 from hoplane.net.aio import Spoilt, Stale
 from hoplane.net.clock import Clock
-from hoplane.net.pool import Pool
+from hoplane.net.pool import Pool, Sending
 from hoplane.net.server import Bodies
 from hoplane.net.wire import Exchange, Sink
 
 HEAD_MOST = 64 * 1024  # bytes read of an answer that is not a stream
 TAIL = 2048  # bytes kept of a stream's end, where usage and the load report stand
-RELEASE_TRY = timedelta(milliseconds=70)  # then another endpoint is asked as well
 UNHEARD = timedelta(milliseconds=500)  # an attempt given up after this casts doubt on kept connections
 PROBE_WAIT = timedelta(milliseconds=300)  # it is answered beside the queue, or the machine is gone
 HOLD_WAIT = timedelta(seconds=1)
@@ -78,7 +78,7 @@
         self.answers = Bodies(config.limits.bodies)
         self.exchanges: dict[str, Exchange] = {}
         self.attempts: dict[tuple[str, int], asyncio.Task] = {}
-        self.sent: dict[tuple[str, int], asyncio.Event] = {}
+        self.sent: dict[tuple[str, int], Sending] = {}
         self.tasks: set[asyncio.Task] = set()
         self.queue: deque[ev.Event] = deque()
         self.busy = False
@@ -152,10 +152,14 @@
 
     def forward(self, effect: ev.Forward) -> None:
         key = effect.id, effect.attempt
-        self.sent[key] = asyncio.Event()
+        self.sent[key] = self.sending(effect.endpoint)
         task = self.attempts[key] = self.spawn(self.play(effect, self.exchanges[effect.id]))
         task.add_done_callback(lambda task: self.over(effect, task))
 
+    def sending(self, endpoint: ev.Endpoint) -> Sending:
+        """Give what lets new work go to an endpoint until it is told to drain, and tells when it went."""
+        return Sending(lambda: self.state.takes(endpoint))
+
     def abandon(self, effect: ev.Abandon) -> None:
         if task := self.attempts.get((effect.id, effect.attempt)):
             task.cancel()
@@ -199,7 +203,7 @@
         headers, data, told = call.headers, call.body, sent
         if effect.once and data:
             headers = {**headers, "Content-Length": str(len(data))}
-            data, told = self.pool.held_back(data, sent), None
+            data, told = self.pool.held_back(data, sent), self.sending(effect.endpoint)
         try:
             answer = await self.pool.request(
                 call.method, effect.endpoint.address, call.path, told, headers=headers, data=data
@@ -329,14 +333,24 @@
         return bytes(data)
 
     async def hold(self, effect: ev.AskHold) -> None:
-        """Ask for a place once the read is on its way: before that no endpoint would know of it."""
-        held = None
+        """Ask for a place once the read is on its way, as no endpoint knows of it before, and until its end.
+
+        Guards against a place that is asked for or answered after the read's end: nobody would take it, and
+        with a lost answer nobody would let go of it in time."""
+        key, held = (effect.id, effect.attempt), False  # what was never sent holds nothing
+        asked, read, path = self.sending(effect.endpoint), self.attempts.get(key), self.hold_path(effect.id)
         try:
-            if (sent := self.sent.get((effect.id, effect.attempt))) and (path := self.hold_path(effect.id)):
-                await sent.wait()
-                if (effect.id, effect.attempt) in self.attempts:
-                    status = await self.pool.call("POST", effect.endpoint.address, path, HOLD_WAIT)
-                    held = {200: True, 409: False}.get(status)
+            if read and path:
+                await self.sent[key].wait()
+            if read and path and not read.done():
+                call = self.spawn(self.pool.call("POST", effect.endpoint.address, path, HOLD_WAIT, asked))
+                await asyncio.wait({call, read}, return_when=asyncio.FIRST_COMPLETED)
+                if call.done() and asked.is_set():
+                    held = {200: True, 409: False}.get(call.result())
+                elif asked.is_set():
+                    held = None
+                else:
+                    call.cancel()
         finally:
             self.feed(ev.HoldAnswered(effect.id, effect.attempt, held))
 
@@ -365,28 +379,36 @@
         self.feed(ev.Probed(effect.server, status, took, load))
 
     async def release(self, effect: ev.LetGo) -> None:
-        """Call endpoint after endpoint until one has taken the release or its time is over."""
+        """Call endpoint after endpoint until one has taken the release, or an answer has begun.
+
+        Guards against a release that ends unheard while something is held: what fails at once is no reason to
+        end, and no endpoint has to be the one that answers."""
         path = self.hold_path(effect.id)
         if path is None:
             return
-        end = self.loop.time() + effect.within.total_seconds()
         await asyncio.sleep(effect.wait.total_seconds())
+        begun, failures, asked = self.loop.time(), 0, 0
         calls: set[asyncio.Task] = set()
+        listed = list(self.state.fleet.values())
         try:
-            for endpoint in effect.endpoints:
-                call = self.pool.call("DELETE", endpoint.address, path, effect.within)
+            for endpoint in releasing.order(effect.id, effect.endpoints, listed, self.state.settings.zone):
+                call = self.pool.call("DELETE", endpoint.address, path, releasing.PATIENCE)
                 calls.add(self.loop.create_task(call))
+                asked += 1
                 # Guards against a cut-off machine: the next is asked while the last may still answer.
-                until = self.loop.time() + RELEASE_TRY.total_seconds()
-                while calls and (left := min(until, end) - self.loop.time()) > 0:
-                    done, calls = await asyncio.wait(
-                        calls, timeout=left, return_when=asyncio.FIRST_COMPLETED
-                    )
-                    if any(task.result() == 204 for task in done):
-                        return
-                if self.loop.time() >= end:
+                done, calls = await asyncio.wait(
+                    calls, timeout=releasing.TRY.total_seconds(), return_when=asyncio.FIRST_COMPLETED
+                )
+                if any(task.result() == 204 for task in done):
+                    return
+                failures = failures + 1 if done else 0
+                if done:
+                    await asyncio.sleep(releasing.pause(failures).total_seconds())
+                if self.state.began(effect.id):
+                    return
+                if self.loop.time() - begun > releasing.MOST.total_seconds():
                     break
-            log.seldom("release_unheard", request=effect.id, asked=len(effect.endpoints))
+            log.seldom("release_unheard", request=effect.id, asked=asked)
         finally:
             for task in calls:
                 task.cancel()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,5 +1,6 @@
 """The reducer alone: no sockets, no clock but the one that the tests pass in."""
 
+from dataclasses import replace
 from datetime import timedelta
 
 import pytest
@@ -7,7 +8,7 @@
 from hoplane.core import events as ev
 from hoplane.core.border import to_ns, to_span
 from hoplane.core.ledger import Ledger
-from hoplane.core.reducer import Conductor, reduce
+from hoplane.core.reducer import Conductor, Held, reduce
 from hoplane.decision import interface as api
 from hoplane.decision.interface import State, Status
 from hoplane.decision.rules import Router
@@ -29,8 +30,9 @@
 
 
 class Core:
-    def __init__(self):
-        self.state = Conductor(SETTINGS, Router(SETTINGS, 1), Ledger(9, 10 * 60 * SECOND))
+    def __init__(self, **changes):
+        told = replace(SETTINGS, **changes)
+        self.state = Conductor(told, Router(told, 1), Ledger(9, 10 * 60 * SECOND))
         self.now = 1000 * SECOND
         fleet = endpoint("r", "reader"), endpoint("w", "writer"), endpoint("w2", "writer")
         self.do(ev.Listed(fleet, True))
@@ -104,6 +106,38 @@
     assert core.of(ev.LetGo) and not core.state.requests
 
 
+def test_what_was_read_is_let_go_of_in_time_while_attempts_at_writers_do_not_come_up():
+    """Guards against a zone that is cut off: each writer there takes the time that a connection may."""
+    core = Core(ahead=False)
+    core.ask()
+    write, since = core.read(holds=0), core.now
+    (held,) = [each for each in core.of(ev.Wake) if isinstance(each.timer, Held)]
+    assert held.at <= since + 450 * MS
+    core.do(ev.Ended("q", write.attempt, Status.CONNECT_FAILED), 250 * MS)
+    assert core.of(ev.Forward) and not core.of(ev.LetGo), "the other writer is tried"
+    core.do(ev.Due(held.timer), held.at - core.now)
+    (let_go,) = core.of(ev.LetGo)
+    assert [each.name for each in let_go.endpoints] == ["r"], "who answered, not who was not reached"
+    assert not core.do(ev.Due(held.timer), MS), "once"
+
+
+def test_what_an_answer_has_begun_with_is_not_let_go_of(core):
+    core.ask()
+    core.do(ev.HoldAnswered("q", 0, True))
+    core.read(holds=0)
+    (held,) = [each for each in core.of(ev.Wake) if isinstance(each.timer, Held)]
+    core.do(ev.Began("q", 1), MS)
+    assert not core.do(ev.Due(held.timer), SECOND)
+
+
+@pytest.mark.parametrize("status", [Status.RESET, Status.ERROR])
+def test_what_a_cut_read_may_have_left_is_let_go_of_at_once_though_another_follows(core, status):
+    core.ask()
+    core.do(ev.HoldAnswered("q", 0, False))
+    core.do(ev.Ended("q", 0, status), MS)
+    assert core.of(ev.LetGo) and core.of(ev.Forward)
+
+
 def test_a_stream_ends_with_its_client(core):
     core.ask()
     core.read()
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -5,6 +5,7 @@
 import os
 import signal
 from contextlib import asynccontextmanager, suppress
+from pathlib import Path
 
 import pytest
 from standins import (
@@ -51,6 +52,23 @@
     await (hang if call[0].startswith("POST /v1/chat") else read_it)(call, writer)
 
 
+def once_asked_for_a_place():
+    """Give a reader that ends its read once the writer was asked for a place, and that writer."""
+    asked = asyncio.Event()
+
+    async def read(call, writer):
+        if call[0].startswith("POST /v1/chat"):
+            await within(asked.wait())
+        await read_it(call, writer)
+
+    async def write(call, writer):
+        if call[0].startswith("POST /v1/holds"):
+            asked.set()
+        await write_it(call, writer)
+
+    return {"read": read, "write": write}
+
+
 @asynccontextmanager
 async def desk(tmp_path, read=read_it, write=write_it, **changes):
     async with Server(read) as reader, Server(write) as writer:
@@ -66,7 +84,7 @@
 
 def test_a_request_is_read_then_written_and_its_events_pass_unchanged(tmp_path):
     async def test():
-        async with desk(tmp_path) as program:
+        async with desk(tmp_path, **once_asked_for_a_place()) as program:
             first, headers, body = await program.ask(chat(body=b'{"stream": true,  "n":1}'))
             assert first.startswith("HTTP/1.1 200") and body == EVENT + USAGE + DONE
             for server in (program.reader, program.writer):
@@ -296,7 +314,7 @@
 
 def test_what_a_request_costs_the_fleet_is_counted(tmp_path):
     async def test():
-        async with desk(tmp_path) as program:
+        async with desk(tmp_path, **once_asked_for_a_place()) as program:
             await program.ask(chat())
             await program.writer.wait_for("POST /v1/holds/r1")
             program.process.send_signal(signal.SIGTERM)
@@ -328,7 +346,7 @@
         async with desk(tmp_path) as program:
             endless = {**program.entries[0], "since_ms": 1e30}
             await program.discovery.tell([endless])
-            assert "OverflowError" in (await program.line("discovery_lost"))["error"]
+            assert "OverflowError" in (await program.line("list_entry_bad"))["error"]
             program.discovery.play, play = hang, program.discovery.play
             heard = len(program.discovery.calls)
             await program.discovery.wait_for("GET /registry", heard + 1)
@@ -362,6 +380,52 @@
     run(test())
 
 
+def test_bad_lists_change_nothing_are_told_and_never_end_the_watch(tmp_path):
+    async def test():
+        async with desk(tmp_path) as program:
+            reader, writer_entry = program.entries
+            body = None
+
+            async def play(call, writer):
+                nonlocal body
+                if body is None:
+                    await asyncio.Event().wait()
+                answer, body = body, None
+                writer.write(answer)
+                if b"Content-Length: 999" in answer:
+                    writer.close()
+
+            async def tell(answer, event):
+                nonlocal body
+                body = answer
+                return await program.line(event)
+
+            def listed(*entries, index=9, whole=False, **dump):
+                told = {"index": index, "snapshot": whole, "endpoints": entries}
+                return message("HTTP/1.1 200 OK", json.dumps(told, **dump).encode())
+
+            program.discovery.play = play
+            cut = message("HTTP/1.1 200 OK", b'{"index":9,"endp').replace(b"Length: 16", b"Length: 999")
+            assert "Payload" in (await tell(cut, "discovery_lost"))["error"]
+            for wrong in (b"{not JSON", b'{"index":9}'):
+                body = message("HTTP/1.1 200 OK", wrong)
+                while body is not None:
+                    await asyncio.sleep(0.01)
+            nowhere = {key: value for key, value in writer_entry.items() if key != "address"}
+            bad = await tell(listed(nowhere, {**reader, "status": "Terminating"}, indent=2), "list_entry_bad")
+            assert bad["entry"] == 0 and bad["endpoint"] == "w1" and "address" in bad["error"]
+            told = await program.line("endpoints")
+            assert told["not_live"] == {"r1": "draining"}, "the drain beside it is heeded"
+            told = await tell(listed(reader, nowhere, index=10, whole=True), "endpoints")
+            assert told["known"] == 2, "what was known of the other stays"
+            assert (await tell(listed(reader, index=3), "list_went_back"))["known"] == 10
+            odd = {**writer_entry, "status": "Odd"}
+            told = await tell(listed(reader, odd, index=3, whole=True), "endpoints")
+            assert told["not_live"] == {"w1": "draining"}, "an unknown status gets nothing new"
+            assert not [line for line in await program.faults() if line["event"] == "task_broke"]
+    run(test())
+
+
 def test_a_start_takes_the_list_before_it_takes_clients(tmp_path):
     """What came since the process before ended counts as told from the first moment; `known` is older."""
     old = entry("r1", "127.0.0.1:9", "prefill"), entry("w1", "127.0.0.1:9", "decode")
@@ -498,3 +562,26 @@
             assert len(cut_off.named("POST /v1/chat")) == len(other.named("POST /v1/chat")) == 1
             assert (await program.line("probe_unanswered"))["status"] == "timeout"
     run(test())
+
+
+def test_a_fleet_of_1100_conductors_and_1100_endpoints_is_taken_in_within_the_limits(tmp_path):
+    def status(program, key):
+        lines = Path(f"/proc/{program.process.pid}/status").read_text().splitlines()
+        return next(int(line.split()[1]) for line in lines if line.startswith(key))
+
+    async def test():
+        settings = {**SETTINGS, "balancers": 1100, "position": 1099}
+        async with Server(read_it) as reader, Server(write_it) as writer:
+            servers = {"prefill": reader, "decode": writer}
+            listed = [entry(f"{kind}-{n}", server.address, kind)
+                      for n in range(550) for kind, server in servers.items()]
+            known = {"index": 0, "snapshot": True, "endpoints": listed[:2]}
+            async with platform(tmp_path, listed, known=known, settings=settings) as program:
+                assert [line["known"] for line in program.log if line["event"] == "endpoints"] == [2, 1100]
+                await program.discovery.tell([{**each, "status": "Terminating"} for each in listed[:600]])
+                assert len((await program.line("endpoints"))["not_live"]) == 600
+                for n in range(30):
+                    assert (await program.ask(chat(f"r{n}")))[0].split()[1] == "200"
+                assert status(program, "VmHWM:") < 192 * 1024
+                assert len(list(Path(f"/proc/{program.process.pid}/fd").iterdir())) < 1024
+    run(test())
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -190,7 +190,7 @@
     assert told[1].endpoints[0].state.value == "draining", "an unknown status gets nothing new"
     watch.take({"index": 3, "snapshot": False, "endpoints": [one]})
     assert watch.index is None and len(told) == 2, "changes of another list are not applied"
-    for wrong in ({}, [], {"index": 1, "endpoints": [{"name": "x"}]}, json.loads("null")):
+    for wrong in ({}, [], {"index": 1, "endpoints": {"name": "x"}}, json.loads("null")):
         try:
             watch.take(wrong)
         except ValueError:
