--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -192,6 +192,7 @@
     id: str
     endpoints: tuple[Endpoint, ...]
     wait: timedelta = ZERO
+    left: timedelta | None = None  # since when something may be held, on the reducer's clock
 
 
 @dataclass(slots=True, frozen=True)
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -104,9 +104,14 @@
 
 def reduce(state: Conductor, now: timedelta, event: ev.Event) -> list[ev.Effect]:
     """Take an event in and give the effects that it calls for, in order."""
-    effects = list(HANDLERS[type(event)](state, now, event))
-    # The module may ask for one release twice, at an attempt's end and at the request's: one call is enough.
-    return [each for at, each in enumerate(effects) if type(each) is not ev.LetGo or each not in effects[:at]]
+    effects, letting = [], set()
+    for each in HANDLERS[type(event)](state, now, event):
+        # A release may be asked for more than once, at an attempt's end and at the request's: one is enough.
+        if type(each) is not ev.LetGo or each.id not in letting:
+            effects.append(each)
+        if type(each) is ev.LetGo:
+            letting.add(each.id)
+    return effects
 
 
 def decide(state: Conductor, now: timedelta, event: api.Event) -> Iterator[ev.Effect]:
@@ -427,6 +432,7 @@
 ) -> Iterator[ev.Effect]:
     """See to what an attempt that ended may have left. What a cut read left is of no use to anybody."""
     if attempt.reads and status in MAY_HAVE_RUN:
+        request.left = now
         yield let_go(state, request)
     elif attempt.answered or request.left is None:
         # Guards against a writer that never saw the request, as it was cut off: the older time goes on.
@@ -454,11 +460,11 @@
     """Ask for a release, first at the endpoints that had part in the request and answered, then the last one.
 
     Guards against asking one after the other of those that could not be reached, while the time runs."""
-    request.left = None
+    left, request.left = request.left, None
     last = [attempt.server for attempt in request.attempts[-1:] if attempt.abandoned]
     answered = [attempt.server for attempt in reversed(request.attempts) if attempt.answered]
     endpoints = tuple(state.fleet[n] for n in dict.fromkeys([*answered, *last]) if n in state.fleet)
-    return ev.LetGo(request.asked.id, endpoints, SETTLE if request.cut else ev.ZERO)
+    return ev.LetGo(request.asked.id, endpoints, SETTLE if request.cut else ev.ZERO, left)
 
 
 def sweep_up(state: Conductor, now: timedelta, id: str) -> Iterator[ev.Effect]:
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from dataclasses import replace
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
 
 import aiohttp
 
@@ -82,12 +82,12 @@
         self.tasks: set[asyncio.Task] = set()
         self.queue: deque[ev.Event] = deque()
         self.busy = False
+        self.last_sent: dict[str, datetime] = {}  # when something new went to each endpoint
         self.heed: Callable[[str, Status], None] | None = None  # told how each attempt ended, where set
         self.effects = {
             ev.Forward: self.forward, ev.Abandon: self.abandon, ev.AskHold: self.ask_hold,
             ev.Probe: self.probe, ev.LetGo: self.let_go, ev.Refuse: self.refuse, ev.Fail: self.fail,
-            ev.Wake: self.wake,
-            ev.Say: lambda effect: log.say(effect.event, **effect.facts),
+            ev.Wake: self.wake, ev.Say: self.say,
         }
 
     def feed(self, event: ev.Event) -> None:
@@ -142,6 +142,14 @@
     def wake(self, effect: ev.Wake) -> None:
         self.loop.call_at(self.clock.loop_time(effect.at), self.feed, ev.Due(effect.timer))
 
+    def say(self, effect: ev.Say) -> None:
+        """Write a line; where endpoints were told to drain, with the moment of the last send to each."""
+        facts = effect.facts
+        if told := facts.get("not_live"):
+            facts = {**facts, "last_sent": {n: self.last_sent[n] for n in told if n in self.last_sent}}
+            self.last_sent = {n: at for n, at in self.last_sent.items() if n in self.state.numbers}
+        log.say(effect.event, **facts)
+
     def refuse(self, effect: ev.Refuse) -> None:
         if exchange := self.exchanges.get(effect.id):
             exchange.refuse(effect.pause)
@@ -158,7 +166,14 @@
 
     def sending(self, endpoint: ev.Endpoint) -> Sending:
         """Give what lets new work go to an endpoint until it is told to drain, and tells when it went."""
-        return Sending(lambda: self.state.takes(endpoint))
+        def may() -> bool:
+            if takes := self.state.takes(endpoint):
+                self.last_sent[endpoint.name] = datetime.now(UTC)
+            else:
+                log.seldom("send_stopped", endpoint=endpoint.name)
+            return takes
+
+        return Sending(may)
 
     def abandon(self, effect: ev.Abandon) -> None:
         if task := self.attempts.get((effect.id, effect.attempt)):
@@ -378,6 +393,12 @@
         took = timedelta(seconds=self.loop.time() - begun)
         self.feed(ev.Probed(effect.server, status, took, load))
 
+    def released(self, effect: ev.LetGo, asked: int) -> None:
+        """Tell of a release that was taken later than the settings want."""
+        limit = self.state.settings.release_within
+        if effect.left is not None and limit and (held := to_ns(self.clock.now() - effect.left)) > limit:
+            log.seldom("release_late", request=effect.id, held_ms=held // 1_000_000, asked=asked)
+
     async def release(self, effect: ev.LetGo) -> None:
         """Call endpoint after endpoint until one has taken the release, or an answer has begun.
 
@@ -400,6 +421,7 @@
                     calls, timeout=releasing.TRY.total_seconds(), return_when=asyncio.FIRST_COMPLETED
                 )
                 if any(task.result() == 204 for task in done):
+                    self.released(effect, asked)
                     return
                 failures = failures + 1 if done else 0
                 if done:
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -174,6 +174,7 @@
 
                 taking = asyncio.create_task(take())
                 assert (await asked)[0].split()[1] == "503"
+                assert (await program.line("send_stopped"))["endpoint"] == "r1"
                 while not came:
                     await asyncio.sleep(0.05)
                 assert came[0] == b"", "it came up, and ended with nothing on it"
@@ -202,5 +203,9 @@
             async with platform(tmp_path, entries) as program:
                 assert (await program.ask(chat(left=900)))[0].split()[1] == "503"
                 assert await writer.wait_for("DELETE /v1/holds/r1")
+                await program.discovery.tell([{**each, "status": "Terminating"} for each in entries])
+                while not (told := await program.line("endpoints"))["not_live"]:
+                    pass
+                assert set(told["last_sent"]) == {"r1", "w1"}, "when something new last went to each"
     reader = None
     asyncio.run(within(test(), 60))
