--- a/hoplane/core/pacing.py
+++ b/hoplane/core/pacing.py
@@ -37,7 +37,9 @@
     def __init__(self, told: Settings, rng: random.Random) -> None:
         self.rng, self.asked = rng, told.must_ask
         self.failures = 0  # in a row
-        self.first = grace = to_span(told.drain_grace) or GRACE  # that a start waits for the first answer
+        grace = to_span(told.drain_grace) or GRACE
+        self.again = ASKED_WITHIN * grace  # an agent answers within this, or it is silent
+        self.first = grace if self.asked else self.again  # that a start waits for the first answer
         if self.asked:
             self.wait, self.patience = WAIT, min(WAIT + SPARE + TURN * told.routers, PATIENCE_MOST)
             self.pause = TURN * max(1, told.routers - FEW)  # so that all that failed come back one by one
@@ -45,9 +47,8 @@
         else:
             # What comes at discovery's return counts at once: a call that was cut off, a pause and the next
             # call take under half of the grace; the rest is for a busy loop and a connection that is late.
-            self.wait, self.patience = min(WAIT, grace / 4), min(WAIT, grace / 4) + ASKED_WITHIN * grace
+            self.wait, self.patience = min(WAIT, grace / 4), min(WAIT, grace / 4) + self.again
             self.pause = self.silence = PAUSED * grace
-            self.again = ASKED_WITHIN * grace
 
     def call(self) -> tuple[timedelta, timedelta]:
         """Give how long the next call may be held open, and how long its answer is awaited."""
