Keep the servers of each role till the next list, and look at full ones only where there are any

A profile of 300 requests at 300 endpoints shows Servers.live called 16 times a request, each time building its list anew (1.4 m steps of 8 m), and Server.opens called 1,800 times a request.

--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -134,7 +134,7 @@
 
     def opens(self, pair: tuple[str | None, str]) -> int:
         """Give the time from which it is set aside no more, nor full for a tenant and class."""
-        return max(self.aside_until, self.full.get(pair, 0))
+        return max(self.aside_until, self.full.get(pair, 0)) if self.full else self.aside_until
 
     @property
     def oldest(self) -> Attempt | None:
@@ -193,6 +193,7 @@
         super().__init__()
         self.kinds = {kind.name: kind for kind in kinds}
         self.by_role: dict[Role, list[Server]] = {}
+        self.of_roles: dict[tuple[Role, ...], list[Server]] = {}  # by the roles asked for, till the next list
 
     def update(self, event: Fleet, now: int) -> None:
         """Take a list in; a whole one removes what it leaves out. A gone server stays while we await it."""
@@ -209,10 +210,13 @@
             server.renew(entry, kind.role, now)
         live = [server for server in self.values() if server.entry.state is State.LIVE]
         self.by_role = {role: [server for server in live if server.role is role] for role in Role}
+        self.of_roles.clear()
 
     def live(self, roles: Iterable[Role]) -> list[Server]:
-        """Give the servers of some roles that run and do not drain."""
-        return [server for role in roles for server in self.by_role.get(role, ())]
+        """Give the servers of some roles that run and do not drain; the list is shared: nobody changes it."""
+        if (key := tuple(roles)) not in self.of_roles:
+            self.of_roles[key] = [server for role in key for server in self.by_role.get(role, ())]
+        return self.of_roles[key]
 
     def attempt(self, event: FirstToken | Place | Outcome) -> Attempt | None:
         """Give the attempt out that an event speaks of."""
