Read a list entry's texts with the configuration's own check, not with its twin

The read of the whole change found one thing written again: platform.py's text() beside config.text(), with the same check and a poorer message. The front calls config.text now, whose error names the key; entries that are no objects are still told and left out.

--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -13,7 +13,7 @@
 from aiohttp import web
 
 from hoplane import log
-from hoplane.config import Config
+from hoplane.config import Config, ConfigError, text
 from hoplane.core.events import Asked, Closing, Endpoint, Forward, Left, Listed, Reloaded, Turned
 from hoplane.decision.interface import Settings, State, Status
 from hoplane.net.runtime import Runtime
@@ -54,7 +54,7 @@
     for at, each in enumerate(entries):
         try:
             endpoints.append(read_entry(each))
-        except (KeyError, TypeError, ValueError, OverflowError) as error:
+        except (AttributeError, ConfigError, KeyError, TypeError, ValueError, OverflowError) as error:
             name = each.get("name") if isinstance(each, dict) else None
             unread.append(str(name))
             log.seldom("list_entry_bad", entry=at, endpoint=name, error=repr(error))
@@ -73,13 +73,6 @@
     )
 
 
-def text(each: dict, key: str) -> str:
-    """Give a text that must be there."""
-    if not isinstance(value := each[key], str) or not value:
-        raise ValueError(f"{key} must be a text")
-    return value
-
-
 def read_load(text: str | bytes) -> dict[str, float]:
     """Translate a load report; what is no figure is left out."""
     load = {}
