--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -26,6 +26,7 @@
 ACCOUNT = "X-Account"  # the tenant, where the settings name any
 LEFT_MS, FACTS, REPEAT = "X-Time-Left-Ms", "X-Facts", "X-Repeat"
 LOAD, NOT_RUN = "X-Backend-Load", "X-Unprocessed"
+PASSED = ("Content-Type", "Idempotency-Key")  # an endpoint knows by the latter what it need not run again
 STATES = {"Ready": State.LIVE, "Terminating": State.DRAINING, "Gone": State.GONE}
 ID_FORM = re.compile(r"[A-Za-z0-9_.:-]{1,128}")
 KEY_MOST = 256
@@ -143,16 +144,21 @@
     def __init__(self, request: web.BaseRequest, asked: Asked, body: bytes) -> None:
         self.asked, self.body = asked, body
         self.method, self.path = request.method, target(request)
-        self.kind = request.headers.get("Content-Type", "application/json")
+        self.headers = {"Content-Type": "application/json"}
+        self.headers.update({name: request.headers[name] for name in PASSED if name in request.headers})
         self.done: asyncio.Future = asyncio.get_running_loop().create_future()
         response = Relay(headers={"Content-Type": "text/event-stream", "Cache-Control": "no-cache"})
         response.enable_chunked_encoding()
         self.response = response
         self.sink = StreamSink(request, response, self.done)
 
+    @property
+    def gone(self) -> bool:
+        return self.sink.request.protocol.gone
+
     def call(self, forward: Forward) -> Call:
         left = max(1, forward.patience // timedelta(milliseconds=1))
-        headers = {ID: self.asked.id, LEFT_MS: str(left), "Content-Type": self.kind}
+        headers = {**self.headers, ID: self.asked.id, LEFT_MS: str(left)}
         return Call(self.method, self.path, headers, self.body)
 
     def read_head(self, status: int, headers: Mapping[str, str], body: bytes) -> Verdict:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -97,6 +97,22 @@
     run(test())
 
 
+def test_a_key_by_which_endpoints_discard_repeats_passes_with_each_attempt(tmp_path):
+    """Guards a class whose repeats an endpoint discards: without its key each would run."""
+    async def test():
+        async with desk(tmp_path) as program:
+            more = b"Host: h\r\nidempotency-key: 20fb\r\nContent-Type: text/x"
+            asked = chat().replace(b"Host: h", more)
+            assert (await program.ask(asked))[0].split()[1] == "200"
+            assert (await program.ask(chat(id="r2")))[0].split()[1] == "200"
+            for server in (program.reader, program.writer):
+                with_key, without = server.named("POST /v1/chat/completions")
+                assert with_key[1]["idempotency-key"] == "20fb" and with_key[1]["content-type"] == "text/x"
+                assert "idempotency-key" not in without[1]
+                assert without[1]["content-type"] == "application/json"
+    run(test())
+
+
 @pytest.mark.parametrize(("data", "status"), [
     (chat(left="soon"), 400), (chat(cls="other"), 400), (chat(id="a b"), 400),
     (chat(facts="max_out=2"), 400), (chat(facts=FACTS + ",prefix=" + "x" * 300), 400),
