Close no client connection over a request, and send nothing for a client that has left

What was at fault: - `Caller.idle` (net/aio.py) was true between two steps of aiohttp's: its task has taken a request out of the queue and the handler has not begun. A shutdown or drain, which looks every 5 or 50 ms, closed the connection then, and the request was sent on for nobody. Idle is now what waits for the next request, with no head on its way. - `wind_up` called aiohttp's pre_shutdown, which ends the task of a connection that rests with a request unread, and throws away what is read on it from then on. Gone: answers end connections by themselves. - `Server.handle` ended a connection after an answer whose head had gone out before the stop. A request read between its last chunk and the close was dropped. Reading now pauses first, and what was read already is answered. - The listener was closed with connections in its queue, which resets them, and in the pass of the loop in which asyncio had accepted some: it asserts that its listener is open, and drops them. Both are taken first (`Server.shut`). - `make_room` and aiohttp's keep-alive timer closed without a look at what had come, or over half a head. - aiohttp stops reading a connection with much behind a request, and so does not see its end: attempts began for a client that had gone. What comes behind a whole request is now thrown away, and the connection ends with its answer. - An attempt that waited for its connection, or stood in a late loop, began though the client's end lay in the system unread. `Sending.may`, which asked for a drain only, asks for that too, and once more before a booking's last byte.

The test of aio's private parts asks for the parts now used.

--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -148,7 +148,11 @@
     def __init__(self, request: web.BaseRequest, asked: Asked, body: bytes) -> None:
         self.asked, self.body, self.path = asked, body, target(request)
         self.headers = {name: request.headers[name] for name in KEPT_HEADERS if name in request.headers}
-        self.sink = WholeSink()
+        self.sink, self.caller = WholeSink(), request.protocol
+
+    @property
+    def gone(self) -> bool:
+        return self.caller.gone
 
     def call(self, forward: Forward) -> Call:
         return Call("POST", self.path, self.headers, self.body)
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -184,27 +184,74 @@
     Guards against an answer lost to a reset: a client that is still sending when the connection closes
     never reads it. So its end is awaited, and what it sends meanwhile is thrown away unread."""
 
-    __slots__ = ("since", "deaf", "served")
+    __slots__ = ("since", "deaf", "served", "body", "half")
 
     def __init__(self, manager: Door, **settings: object) -> None:
         super().__init__(manager, **settings)
         self.since = self._loop.time()
         self.deaf = self.served = False
+        self.body: aiohttp.StreamReader | None = None  # of the request whose head came last
+        self.half = 0.0  # when the first bytes of a head came that is not whole yet, 0 where there is none
+
+    @property
+    def resting(self) -> bool:
+        """Tell whether no request is open on it, and none has come that aiohttp has not begun on.
+
+        Guards against a close between two steps of aiohttp's: it takes a request out of its queue a pass of
+        the loop before it notes that one is open, and forgets it before its answer is written."""
+        return self._waiter is not None and not self._waiter.done()
 
     @property
     def idle(self) -> bool:
-        """Tell whether no request is open on it.
+        """Tell whether it rests and no head is on its way; one that is slow does not count."""
+        return self.resting and self.half < self._loop.time() - FRESH.total_seconds()
 
-        Guards against a close while an answer is written: aiohttp forgets the request before it writes."""
-        return not self._request_in_progress and self._current_request is None and not self._messages
+    @property
+    def gone(self) -> bool:
+        """Tell whether the client has closed it, also where the loop has not come to see that yet."""
+        transport = self.transport
+        return transport is None or transport.is_closing() or waiting_bytes(transport) == b""
 
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return
+        between, queued = self.body is None or self.body.is_eof(), len(self._messages)
         super().data_received(data)
+        if len(self._messages) > queued:
+            self.body, self.half = self._messages[-1][1], 0.0
+        elif data and between:
+            self.half = self.half or self._loop.time()
         if self._messages and isinstance(self._messages[-1][0], _ErrInfo):
             self.deaf = True  # guards against each further piece counting as one more bad request
 
+    def _pause_transport_reading(self) -> None:
+        """Guard against a client's end that is not seen, as its connection is not read.
+
+        What comes behind a whole request is thrown away instead, and the connection ends with its answer."""
+        if self._current_request is not None and self._current_request.content.is_eof():
+            self.deaf = True
+        else:
+            super()._pause_transport_reading()
+
+    def _process_keepalive(self) -> None:
+        """Close it if it was silent for long; not over a request that has come, or is coming."""
+        now = self._loop.time()
+        if self.served and self.half:
+            self._next_keepalive_close_time = self.half + SILENT.total_seconds()
+        elif waiting_bytes(self.transport):
+            self._next_keepalive_close_time = now + FRESH.total_seconds()
+        super()._process_keepalive()
+
+    def end_here(self) -> bool:
+        """Read nothing more, so that it can end with the answer at hand; False where more has been read.
+
+        Guards against a request that is read as the connection closes: nobody would answer it, while one that
+        the close finds unread is sent again by its client."""
+        if self._messages or self.half:
+            return False
+        super()._pause_transport_reading()
+        return True
+
     def handle_error(self, request, status=500, exc=None, message=None) -> web.StreamResponse:
         """Word an error as our front does, with no line for each in the log."""
         if request.writer.output_size > 0:
@@ -213,6 +260,8 @@
         return self._manager.problem(status, "the request cannot be read", close=True)
 
     async def finish_response(self, request, resp, start_time):
+        if self.deaf and not self._messages:
+            resp.force_close()
         resp, reset = await super().finish_response(request, resp, start_time)
         self.since, self.served = self._loop.time(), True
         unread = self.deaf or not request.content.is_eof() or resp.status >= 400
@@ -301,10 +350,11 @@
             return True
         ripe = self._loop.time() - FRESH.total_seconds()
         idle = [each for each in self._connections if each.idle and (each.served or each.since < ripe)]
-        if not idle:
-            return False
-        min(idle, key=lambda each: (each.served, each.since)).force_close()
-        return True
+        for each in sorted(idle, key=lambda each: (each.served, each.since)):
+            if not waiting_bytes(each.transport):
+                each.force_close()
+                return True
+        return False
 
     def asked_at(self, request: web.BaseRequest) -> float:
         """Give the loop's time from which a request is awaited: its connection's start, for the first."""
@@ -316,26 +366,23 @@
 
         Guards against a close that crosses a request on its way: what the system holds is looked at first."""
         for connection in self.connections:
-            if connection.idle and not unread(connection.transport):
+            if connection.idle and not waiting_bytes(connection.transport):
                 # Guards against idle connections that stay open: aiohttp's close() ends their task alone.
                 connection.force_close()
 
-    def wind_up(self) -> None:
-        """Close what is idle, and let the other connections end with their answers."""
-        self.drop_idle()
-        self.pre_shutdown()
-
 
-def unread(transport: asyncio.BaseTransport | None) -> bool:
-    """Tell whether bytes have come on a connection that the loop has not read yet."""
+def waiting_bytes(transport: asyncio.BaseTransport | None) -> bytes | None:
+    """Give the first byte that has come and is not read yet, empty at the peer's end, None where none has."""
     raw = transport and transport.get_extra_info("socket")
-    if raw is None:
-        return False
-    probe = socket.socket(fileno=raw.fileno())
+    if raw is None or raw.fileno() < 0:
+        return None
+    probe = socket.socket(raw.family, raw.type, raw.proto, raw.fileno())
     try:
-        return bool(probe.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        return probe.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return None
     except OSError:
-        return False
+        return b""
     finally:
         probe.detach()
 
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -23,7 +23,7 @@
 
 
 class Drained(aiohttp.ClientConnectionError):
-    """A call that was not sent, as its endpoint had been told to drain while a connection to it came up."""
+    """A call that was not sent, as its endpoint had been told to drain since, or its client had left."""
 
 
 class Sending(asyncio.Event):
@@ -79,13 +79,15 @@
         return made
 
     @staticmethod
-    async def held_back(body: bytes, sent: asyncio.Event) -> AsyncIterator[bytes]:
+    async def held_back(body: bytes, sent: Sending) -> AsyncIterator[bytes]:
         """Give a body whose last byte goes a moment after all else; `sent` is set as it goes.
 
         Guards a request that must not run twice against a connection that was closed or reset unseen: it
         shows in that moment, while the request cannot have run and may go out again."""
         yield body[:-1]
         await asyncio.sleep(LAST_BYTE.total_seconds())
+        if not sent.may():
+            raise Drained("told to drain since, or its client has left")
         sent.set()
         yield body[-1:]
 
@@ -97,7 +99,7 @@
         asked for once a read is sent, a loop that is behind."""
         if context is not None and not context.is_set():
             if not context.may():
-                raise Drained("told to drain since")
+                raise Drained("told to drain since, or its client has left")
             context.set()
 
     def request(self, method: str, address: str, path: str, sent: Sending | None = None, **more):
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -160,13 +160,23 @@
 
     def forward(self, effect: ev.Forward) -> None:
         key = effect.id, effect.attempt
-        self.sent[key] = self.sending(effect.endpoint)
+        self.sent[key] = self.sending(effect)
         task = self.attempts[key] = self.spawn(self.play(effect, self.exchanges[effect.id]))
         task.add_done_callback(lambda task: self.over(effect, task))
 
-    def sending(self, endpoint: ev.Endpoint) -> Sending:
-        """Give what lets new work go to an endpoint until it is told to drain, and tells when it went."""
+    def sending(self, effect: ev.Forward | ev.AskHold) -> Sending:
+        """Give what lets work go to an endpoint until it is told to drain, and tells when it went.
+
+        Guards against work for a client whose end has come and waits to be seen: by then an attempt may have
+        waited for a connection, or the loop may be behind. It is told of here as any other end."""
+        id, endpoint = effect.id, effect.endpoint
+
         def may() -> bool:
+            exchange = self.exchanges.get(id)
+            if exchange is None or exchange.gone:
+                log.seldom("client_gone", request=id, endpoint=endpoint.name)
+                self.feed(ev.Left(id))
+                return False
             if takes := self.state.takes(endpoint):
                 self.last_sent[endpoint.name] = datetime.now(UTC)
             else:
@@ -218,7 +228,7 @@
         headers, data, told = call.headers, call.body, sent
         if effect.once and data:
             headers = {**headers, "Content-Length": str(len(data))}
-            data, told = self.pool.held_back(data, sent), self.sending(effect.endpoint)
+            data, told = self.pool.held_back(data, sent), self.sending(effect)
         try:
             answer = await self.pool.request(
                 call.method, effect.endpoint.address, call.path, told, headers=headers, data=data
@@ -353,7 +363,7 @@
         Guards against a place that is asked for or answered after the read's end: nobody would take it, and
         with a lost answer nobody would let go of it in time."""
         key, held = (effect.id, effect.attempt), False  # what was never sent holds nothing
-        asked, read, path = self.sending(effect.endpoint), self.attempts.get(key), self.hold_path(effect.id)
+        asked, read, path = self.sending(effect), self.attempts.get(key), self.hold_path(effect.id)
         try:
             if read and path:
                 await self.sent[key].wait()
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -148,6 +149,8 @@
         )
         self.door.advises = config.settings.retry_after
         self.listener: asyncio.Server | None = None
+        self.socket: socket.socket | None = None  # that it listens on
+        self.shutting: asyncio.Task | None = None
 
     def resize(self, limits: Limits) -> None:
         """Put new limits in force; what is over them ends by itself."""
@@ -163,6 +166,31 @@
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(self.door, sock=made, backlog=ACCEPT_MOST)
         made.listen(BACKLOG)
+        self.socket = made
+
+    async def shut(self) -> None:
+        """Listen no more. What waits at a socket of ours is taken first: its requests may have come.
+
+        Guards against connections that are accepted in the same pass of the loop, whose transports asyncio
+        does not make once its listener is closed, and against the reset of those that wait."""
+        made, self.socket = self.socket, None
+        if made is None:
+            return
+        loop, waiting = asyncio.get_running_loop(), []
+        loop.remove_reader(made)
+        await asyncio.sleep(0)
+        # Where the platform holds the socket, the process beside us takes what comes.
+        while self.config.inherited is None and len(waiting) < BACKLOG:
+            try:
+                waiting.append(made.accept()[0])
+            except ConnectionAbortedError:
+                continue
+            except OSError:
+                break
+        self.listener.close()
+        for each in waiting:
+            each.setblocking(False)
+            await loop.connect_accepted_socket(self.door, each)
 
     @property
     def ready(self) -> bool:
@@ -177,8 +205,7 @@
 
     def give_way(self) -> None:
         """Let the process beside take every new connection, and empty this one as a drain does."""
-        if self.listener is not None:
-            self.listener.close()
+        self.shutting = asyncio.get_running_loop().create_task(self.shut())
         self.leave()
 
     def join(self) -> None:
@@ -206,7 +233,7 @@
             response = self.problem(500, "a fault of the conductor")
         finally:
             self.open -= 1
-        if self.stopping or self.leaving is not None:
+        if (self.stopping or self.leaving is not None) and request.protocol.end_here():
             response.force_close()
         return response
 
@@ -248,18 +275,15 @@
         # Where the platform holds the socket, the process beside us takes what comes: we may close at once.
         if self.config.inherited is None:
             await asyncio.sleep(LINGER.total_seconds())
-        self.listener.close()
-        self.door.wind_up()
-        while self.open:
-            await asyncio.sleep(0.005)
+        await self.shut()
+        ended = loop.time()
+        while self.open or (self.door.connections and loop.time() < ended + LAST.total_seconds()):
             self.door.drop_idle()
+            await asyncio.sleep(0.005)
+            ended = loop.time() if self.open else ended
             if moves and (now := loop.time() - begun) >= next_move:
                 next_move = now + SWEEP.total_seconds()
                 self.move(min(1.0, SWEEP.total_seconds() / max(0.001, MOVED * kill - now)))
-        end = asyncio.get_running_loop().time() + LAST.total_seconds()
-        while self.door.connections and asyncio.get_running_loop().time() < end:
-            await asyncio.sleep(0.005)
-            self.door.drop_idle()
 
 
 def target(request: web.BaseRequest) -> str:
--- a/hoplane/net/wire.py
+++ b/hoplane/net/wire.py
@@ -60,6 +60,9 @@
     asked: Asked
     sink: Sink
 
+    @property
+    def gone(self) -> bool: ...  # whether the client has left, also where the loop has not come to see it yet
+
     def call(self, forward: Forward) -> Call: ...
 
     def read_head(self, status: int, headers: Mapping[str, str], body: bytes) -> Verdict: ...
--- a/tests/test_aio.py
+++ b/tests/test_aio.py
@@ -19,8 +19,11 @@
 
 
 def test_the_private_parts_are_there():
-    assert {"_current_request", "_messages", "_request_in_progress"} <= set(RequestHandler.__slots__)
-    assert hasattr(RequestHandler, "_resume_transport_reading")
+    assert {"_current_request", "_messages", "_waiter", "_force_close", "_next_keepalive_close_time"} <= set(
+        RequestHandler.__slots__
+    )
+    for name in ("_resume_transport_reading", "_pause_transport_reading", "_process_keepalive"):
+        assert hasattr(RequestHandler, name)
     assert _ErrInfo(400, ValueError(), "x").status == 400
     assert hasattr(ResponseHandler, "set_response_params") and hasattr(ResponseHandler, "feed_data")
 
@@ -31,10 +34,16 @@
         assert session._retry_connection is True
         never_resend(session)
         door = Door(None, None, 5, 5, 5)
-        assert door._connections == {} and door.caller().idle
+        assert door._connections == {}
         caller = door.caller()
-        caller._request_in_progress = True  # as while aiohttp writes an answer whose request it forgot
-        assert not caller.idle
+        assert not caller.idle, "its task has not begun to wait"
+        caller._waiter = asyncio.get_running_loop().create_future()
+        assert caller.idle
+        caller.half = asyncio.get_running_loop().time()
+        assert not caller.idle, "a head is on its way"
+        caller.half = 0.0
+        caller._waiter.set_result(None)
+        assert not caller.idle, "a request has come"
         await session.close()
     asyncio.run(test())
 
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -15,6 +15,7 @@
 from hoplane.core.events import Asked, Endpoint, Left, LetGo
 from hoplane.decision.interface import State
 from hoplane.fronts.platform import read_list
+from hoplane.net.pool import Drained, Pool, Sending
 from hoplane.net.wire import Call
 
 
@@ -83,7 +84,8 @@
         runtime.pool.connector.connect = late
         call = Call("POST", "/v1/chat/completions", {}, b"{}")
         runtime.exchanges["q"] = SimpleNamespace(
-            call=lambda forward: call, refuse=lambda pause: told.set(), fail=lambda clash: told.set(),
+            gone=False, call=lambda forward: call,
+            refuse=lambda pause: told.set(), fail=lambda clash: told.set(),
             read_head=lambda *_: SimpleNamespace(status=None, load={}),
         )
         runtime.feed(Asked("q", "lookup", 100, 20, timedelta(seconds=4), session="s"))
@@ -129,6 +131,36 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("address_of", ["reader", "writer"])
+def test_nothing_goes_for_a_client_that_left_and_whose_end_waits_to_be_seen(address_of):
+    """A connection comes up, for a read or a place, as the client's end lies unread in the system."""
+    async def test():
+        async with late_connections(never_read, address_of) as (runtime, reader, writer, up, _):
+            if address_of == "writer":
+                await reader.wait_for("POST /v1/chat")
+            await asyncio.sleep(0.05)
+            runtime.exchanges["q"].gone = True
+            up.set()
+            while runtime.state.requests:
+                await asyncio.sleep(0.01)
+            held_up = {"reader": reader, "writer": writer}[address_of]
+            assert not held_up.named("POST") and not runtime.attempts
+    asyncio.run(within(test(), 20))
+
+
+def test_the_last_byte_of_a_booking_stays_back_for_a_client_that_left_as_it_was_held():
+    async def test():
+        left, body = False, b"{}"
+        sent = Sending(lambda: not left)
+        pieces = Pool.held_back(body, sent)
+        assert await anext(pieces) == b"{"
+        left = True
+        with pytest.raises(Drained):
+            await anext(pieces)
+        assert not sent.is_set(), "it surely never ran"
+    asyncio.run(test())
+
+
 @asynccontextmanager
 async def full_listener():
     """A machine whose connections come up late: its accept queue is full until it is drained."""
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -104,7 +104,8 @@
             call = Call("POST", "/v1/chat/completions", {}, b"{}")
             told = asyncio.Event()
             runtime.exchanges["q"] = SimpleNamespace(
-                call=lambda forward: call, refuse=lambda pause: told.set(), fail=lambda clash: told.set()
+                gone=False, call=lambda forward: call,
+                refuse=lambda pause: told.set(), fail=lambda clash: told.set()
             )
             runtime.feed(Asked("q", "lookup", 100, 20, timedelta(seconds=0.8), session="s"))
             await within(told.wait())
@@ -136,7 +137,8 @@
             assert pool.connector.keeping, "one alone may have been closed as idle"
             call, told = Call("POST", "/v1/chat/completions", {}, b"{}"), asyncio.Event()
             runtime.exchanges["q"] = SimpleNamespace(
-                call=lambda forward: call, refuse=lambda pause: told.set(), fail=lambda clash: told.set()
+                gone=False, call=lambda forward: call,
+                refuse=lambda pause: told.set(), fail=lambda clash: told.set()
             )
             runtime.feed(Asked("q", "lookup", 100, 20, timedelta(seconds=3), session="s"))
             await within(told.wait())
