Use no kept connection on which something has come, nor just behind an answer

By reading: Peer (net/aio.py) ends a resting connection when stray bytes are read, but a request that is written before the loop reads them, or before they come, takes them for its answer: at a writer a stream that no instance made for it. A close that waits unread breaks the next request, for a booking with no way back.

Change: before a kept connection is used, what the system holds for it is looked at, and it rests 20 ms behind its last answer (BEHIND, for "some milliseconds"); discovery's agent is on our own machine and excepted. Both are forced on real sockets, with a raw endpoint that writes between two steps and with no pass of the loop; each test fails with its part taken back. Two runtime tests that count on kept connections being used again at once set the rest to 0.

--- a/hoplane/conductor.py
+++ b/hoplane/conductor.py
@@ -124,7 +124,8 @@
             return
         self.watch, self.watching = watch, asyncio.create_task(watch.watch())
         self.front.server.resize(new.limits)
-        self.pool.most, self.pool.discovery = new.limits.upstreams, new.discovery
+        self.pool.most = new.limits.upstreams
+        self.pool.watch(new.discovery)
         self.front.retune(new.settings)
         known = (*configuration.RELOADED, *configuration.IGNORED)
         wait = [
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -25,6 +25,7 @@
 SILENT = timedelta(seconds=2.2)  # a client connection with no whole head on it: owed a close within 3 s
 LINGER = timedelta(seconds=5)  # for a client to take an error and to end what it is sending
 BREAKS, BREAKS_WITHIN = 2, 5.0  # kept connections that broke when used again, within so many seconds
+BEHIND = timedelta(milliseconds=20)  # a second answer may come some milliseconds behind the first
 KEEP_AGAIN, KEEP_AGAIN_MOST = 10.0, 80.0  # seconds in which none is kept then
 FRESH = timedelta(seconds=0.3)  # a new connection so young may be a usual client's whose head is on its way
 
@@ -135,6 +136,7 @@
         super().__init__(**settings)
         self._factory = functools.partial(Peer, loop=self._loop, broke=self.broke)
         self.usual = self._keepalive_timeout
+        self.at_once = ""  # the address of an agent of our own machine, whose connection goes on at once
         self.broken: deque[float] = deque(maxlen=BREAKS)  # when kept connections broke of late
         self.again, self.pause = 0.0, KEEP_AGAIN  # when they are kept again, and the pause till then
 
@@ -157,9 +159,27 @@
         return self._keepalive_timeout > 0
 
     async def _get(self, key, traces):
+        """Give a kept connection on which nothing has come since its last answer, and not just now.
+
+        Guards against what an endpoint wrote and the loop has not read: its close, under which the request
+        would break, or a second answer, which it would take for its own and which may come a moment late."""
         if not self.keeping and self._loop.time() > self.again:
             self._keepalive_timeout = self.usual
-        return await super()._get(key, traces)
+        fresh, ripe = [], self._loop.time()
+        if self.at_once != f"{key.host}:{key.port}":
+            ripe -= BEHIND.total_seconds()
+        for kept in list(self._conns.get(key, ())):
+            if kept[0].last > ripe:
+                fresh.append(kept)
+            elif kept[0].is_connected() and waiting_bytes(kept[0].transport) is None:
+                continue
+            else:
+                kept[0].close()
+            self._conns[key].remove(kept)
+        found = await super()._get(key, traces)
+        if fresh:
+            self._conns[key].extend(fresh)
+        return found
 
     def drop_idle(self, address: str | None = None) -> int:
         """Close the idle connections, to one endpoint or to all; gives how many there were."""
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -39,7 +39,6 @@
 
     def __init__(self, config: Config) -> None:
         self.most, self.sockets = config.limits.upstreams, WeakSet()
-        self.discovery = config.discovery  # whose descriptors come out of the spare ones
         self.tally = Tally()
         # Guards against aiohttp's total of 100, past which attempts would wait unseen: we count ourselves.
         self.connector = Connector(
@@ -49,6 +48,7 @@
             happy_eyeballs_delay=None,
             socket_factory=self.open,
         )
+        self.watch(config.discovery)
         trace = TraceConfig(trace_config_ctx_factory=lambda trace_request_ctx=None: trace_request_ctx)
         trace.on_request_headers_sent.append(self.sent)
         trace.on_request_chunk_sent.append(self.sent)
@@ -64,6 +64,11 @@
         )
         never_resend(self.session)
 
+    def watch(self, address: tuple[str, int] | None) -> None:
+        """Take an address as discovery's: its descriptors are spare ones, and a watch never rests."""
+        self.discovery = address
+        self.connector.at_once = "{}:{}".format(*address) if address else ""
+
     def open(self, info: tuple) -> socket.socket:
         """Make a socket, unless that would take more than our part of the descriptors.
 
--- a/tests/test_aio.py
+++ b/tests/test_aio.py
@@ -1,6 +1,8 @@
 """What `net/aio.py` uses of aiohttp's own parts is there in the pinned release, and acts as it expects."""
 
 import asyncio
+import socket
+from datetime import timedelta
 from pathlib import Path
 
 import aiohttp
@@ -9,6 +11,7 @@
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 from standins import Server, message
 
+from hoplane.net import aio
 from hoplane.net.aio import Connector, Door, Peer, Spoilt, never_resend
 
 PINS = (Path(__file__).parent.parent / "requirements.txt").read_text().split()
@@ -71,8 +74,76 @@
     async def test():
         connector = Connector()
         async with Server(answer) as server, aiohttp.ClientSession(connector=connector) as session:
+            connector.at_once = server.address
             for _ in range(3):
                 async with session.get(f"http://{server.address}/") as got:
                     assert await got.read() == b"x"
             assert connector.drop_idle() == 1 and not connector.broken
     asyncio.run(test())
+
+
+class Raw:
+    """An endpoint whose writes go out at once, with no pass of the loop between."""
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen()
+        self.listener.setblocking(False)
+        self.url, self.taken = "http://{}:{}/".format(*self.listener.getsockname()), []
+
+    async def answer(self, made, body):
+        loop = asyncio.get_running_loop()
+        if made is None:
+            made, _ = await loop.sock_accept(self.listener)
+            made.setblocking(False)
+            self.taken.append(made)
+        await loop.sock_recv(made, 65536)
+        made.send(message("HTTP/1.1 200 OK", body))
+        return made
+
+    async def ask(self, session):
+        async with session.get(self.url) as got:
+            return await got.read()
+
+
+@pytest.mark.parametrize("came", ["a second answer", "its close", "nothing"])
+def test_a_kept_connection_on_which_something_waits_unread_is_not_used_again(monkeypatch, came):
+    monkeypatch.setattr(aio, "BEHIND", timedelta())
+
+    async def test():
+        raw = Raw()
+        async with aiohttp.ClientSession(connector=Connector()) as session:
+            never_resend(session)
+            first, kept = await asyncio.gather(raw.ask(session), raw.answer(None, b"one"))
+            assert first == b"one" and session.connector._conns
+            if came == "a second answer":
+                kept.send(message("HTTP/1.1 200 OK", b"strange"))
+            elif came == "its close":
+                kept.close()
+            asked = raw.ask(session)
+            same = kept if came == "nothing" else None
+            second, _ = await asyncio.wait_for(asyncio.gather(asked, raw.answer(same, b"two")), 10)
+            assert second == b"two" and len(raw.taken) == (1 if came == "nothing" else 2)
+        raw.listener.close()
+    asyncio.run(test())
+
+
+def test_a_connection_rests_behind_an_answer_as_a_second_one_may_come_late(monkeypatch):
+    async def test():
+        monkeypatch.setattr(aio, "BEHIND", timedelta(seconds=60))
+        raw, connector = Raw(), Connector()
+        async with aiohttp.ClientSession(connector=connector) as session:
+            _, kept = await asyncio.gather(raw.ask(session), raw.answer(None, b"one"))
+            second, _ = await asyncio.wait_for(asyncio.gather(raw.ask(session), raw.answer(None, b"two")), 10)
+            assert second == b"two" and len(raw.taken) == 2
+            kept.send(message("HTTP/1.1 200 OK", b"strange"))
+            monkeypatch.setattr(aio, "BEHIND", timedelta())
+            both = asyncio.gather(raw.ask(session), raw.answer(raw.taken[1], b"three"))
+            assert (await asyncio.wait_for(both, 10))[0] == b"three", "then it is used again"
+            connector.at_once = raw.url[7:-1]
+            monkeypatch.setattr(aio, "BEHIND", timedelta(seconds=60))
+            for _ in range(3):
+                await asyncio.wait_for(asyncio.gather(raw.ask(session), raw.answer(raw.taken[1], b"4")), 10)
+        raw.listener.close()
+    asyncio.run(test())
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -16,6 +16,7 @@
 from hoplane.decision.interface import KEPT, Status
 from hoplane.fronts.kserve import problem
 from hoplane.fronts.platform import hold_path, read_list
+from hoplane.net import aio
 from hoplane.net.discovery import Discovery
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
@@ -104,7 +105,9 @@
     asyncio.run(test())
 
 
-def test_silence_casts_doubt_on_the_connections_kept_from_before():
+def test_silence_casts_doubt_on_the_connections_kept_from_before(monkeypatch):
+    monkeypatch.setattr(aio, "BEHIND", timedelta())  # those kept are used again at once
+
     async def mute(call, writer):
         if call[0].startswith("POST"):
             await asyncio.Event().wait()
@@ -132,7 +135,9 @@
     asyncio.run(test())
 
 
-def test_kept_connections_that_break_are_told_as_such_and_then_none_is_kept():
+def test_kept_connections_that_break_are_told_as_such_and_then_none_is_kept(monkeypatch):
+    monkeypatch.setattr(aio, "BEHIND", timedelta())  # those kept are used again at once
+
     broken = asyncio.Event()
 
     async def drops(call, writer):
