Name the class or tenant whose setting is wrong, and fail at a stop what may not be refused

One whose repeats are discarded within a zone or cell alone may not be refused once it may have run: it fails now. The rule stood twice, in the module's `finish` and there in part; it is `ClassSettings.repeatable` now.

The tests fail without it.

--- a/hoplane/adapter.py
+++ b/hoplane/adapter.py
@@ -9,6 +9,7 @@
 import binascii
 import sys
 from collections.abc import Callable, Iterable, Iterator
+from contextlib import contextmanager
 from typing import TextIO
 
 from hoplane.decision import interface as api
@@ -157,17 +158,28 @@
     return {name[len(path) :]: value for name, value in fields.items() if name.startswith(path)}
 
 
+@contextmanager
+def below(path: str) -> Iterator[None]:
+    """Put the path of a part ahead of what is wrong in it."""
+    try:
+        yield
+    except WireError as error:
+        raise WireError(f"{path}{error}") from None
+
+
 def class_settings(fields: Fields, index: int) -> api.ClassSettings:
     """Translate one class of requests."""
-    own = part(fields, f"lanes.{index}.")
+    path = f"lanes.{index}."
+    own = part(fields, path)
     key = "family_info.token_aim"
     extra = given(at_index(fields, key, index), {"token_aim": (key, ticks)})
     key = "family_info.aim_us_per_1000_prompt_tokens"
     if stretch := at_index(fields, key, index):
         extra["aim_per_1000"] = round(number(stretch, key) * 1000)
-    extra |= given(own, CLASS_FIELDS)
-    times = ticks(own, "target"), ticks(own, "hard_limit")
-    return api.ClassSettings(text(own, "name"), *times, choice(own, "idempotency", EFFECTS), **extra)
+    with below(path):
+        extra |= given(own, CLASS_FIELDS)
+        times = ticks(own, "target"), ticks(own, "hard_limit")
+        return api.ClassSettings(text(own, "name"), *times, choice(own, "idempotency", EFFECTS), **extra)
 
 
 def kind_settings(fields: Fields, name: str, index: int) -> api.KindSettings:
@@ -180,8 +192,10 @@
 
 def tenant_settings(fields: Fields, index: int) -> api.TenantSettings:
     """Translate one tenant."""
-    own = part(fields, f"projects.{index}.")
-    return api.TenantSettings(text(own, "name"), **given(own, TENANT_FIELDS))
+    path = f"projects.{index}."
+    own = part(fields, path)
+    with below(path):
+        return api.TenantSettings(text(own, "name"), **given(own, TENANT_FIELDS))
 
 
 def count(fields: Fields, name: str) -> range:
--- a/hoplane/conductor.py
+++ b/hoplane/conductor.py
@@ -12,14 +12,15 @@
 from dataclasses import fields, replace
 from datetime import timedelta
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from hoplane import config as configuration
-from hoplane import log, xds
+from hoplane import log
 from hoplane.config import Config, ConfigError
 from hoplane.core.events import Reloaded
 from hoplane.core.pacing import Pacing
 from hoplane.decision.interface import State
-from hoplane.fronts import kserve, platform
+from hoplane.fronts import platform
 from hoplane.fronts.operator import Operator
 from hoplane.net import signals
 from hoplane.net.discovery import Discovery
@@ -27,6 +28,10 @@
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
 
+if TYPE_CHECKING:
+    from hoplane import xds
+    from hoplane.fronts import kserve
+
 TIDY = timedelta(seconds=10)  # between collections of garbage, which take 5 to 8 ms
 
 
@@ -104,6 +109,10 @@
 
     def beside(self) -> tuple[kserve.KServe, xds.Files]:
         """Put the v2 front and its files together; at the start they must be whole."""
+        # Here, as the platform's run should not load them: half of a start is loading.
+        from hoplane import xds
+        from hoplane.fronts import kserve
+
         front = kserve.KServe(self.config, self.pool)
         watch = xds.Files(*self.config.files, front.feed)
         if broken := watch.look():
--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -2,21 +2,26 @@
 
 from __future__ import annotations
 
-import tomllib
 from collections.abc import Iterator, Mapping
+from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
+from math import isfinite
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import orjson
 
 from hoplane.adapter import WireError, read_settings
 from hoplane.decision.interface import Settings
-from hoplane.lease.choice import Terms
-from hoplane.shared.escrow import Budget
-from hoplane.shared.verdicts import Rule
+
+if TYPE_CHECKING:  # a file of ours loads them, the platform's run does not: half of a start is loading
+    from hoplane.lease.choice import Terms
+    from hoplane.shared.escrow import Budget
+    from hoplane.shared.verdicts import Rule
 
 MEGABYTE = 1 << 20
+MOST = 10**18  # of any number that is told: 30 years in nanoseconds
 BODY_MOST = 256 * 1024  # the protocol's bound on a body
 BASE = 52 * MEGABYTE  # what the program takes with no request open, measured at 48
 
@@ -183,6 +188,8 @@
 
 def from_file(path: Path) -> Config:
     """Check a file of ours, in TOML; relative paths in it count from its folder."""
+    import tomllib
+
     try:
         raw = tomllib.loads(path.read_text())
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
@@ -211,6 +218,8 @@
 
 def lease(raw: dict) -> Lease:
     """Check the lease's part of a file of ours."""
+    from hoplane.lease.choice import Terms
+
     engine = members(raw, LEASE_KEYS, "lease.")
     call = milliseconds(raw, "call_ms", 500, "lease.")
     try:
@@ -245,6 +254,10 @@
 
 def shared(raw: dict, told: dict) -> Shared:
     """Check the part of a file of ours that tells what the fleet shares."""
+    from hoplane.lease.choice import Terms
+    from hoplane.shared.escrow import Budget
+    from hoplane.shared.verdicts import Rule
+
     engine = members(raw, SHARED_KEYS, "shared.")
     if isinstance(family := told.get("family_info"), dict) and family.get("ahead"):
         raise ConfigError("shared: cannot go with settings.family_info.ahead, whose places no budget covers")
@@ -280,8 +293,14 @@
 
 def settings(told: dict, where: str) -> Settings:
     """Check the settings, whose names and units are the simulator's."""
+    fields = dict(flatten(told))
+    for key, value in fields.items():
+        # Guards against a span that no clock can count, which would end the program without its key's name.
+        with suppress(ValueError):
+            if not abs(float(value)) <= MOST:
+                raise ConfigError(f"{where}{key}: must be a number of at most {MOST}")
     try:
-        return read_settings(dict(flatten(told)))
+        return read_settings(fields)
     except (WireError, ValueError) as error:
         raise ConfigError(f"{where}{error}") from None
 
@@ -296,6 +315,8 @@
     for index, lane in enumerate(lanes):
         if not isinstance(lane, dict):
             raise ConfigError(f"{where}lanes.{index}: must be an object")
+        if lane.get("name") in [each.get("name") for each in lanes[:index]]:
+            raise ConfigError(f"{where}lanes.{index}.name: is another class's too")
         for key in ("target", "hard_limit"):
             above_zero(lane, key, f"{where}lanes.{lane.get('name', index)}.")
     allowed = told.get("allowed")
@@ -374,10 +395,12 @@
 def whole(raw: dict, key: str, default: int, least: int, where: str = "") -> int:
     """Give a whole number with a least value."""
     value = raw.get(key, default)
-    if not isinstance(value, int | float) or isinstance(value, bool) or value != int(value):
+    if not isinstance(value, int | float) or isinstance(value, bool) or not isfinite(value) or value % 1:
         raise ConfigError(f"{where}{key}: must be a whole number")
     if value < least:
         raise ConfigError(f"{where}{key}: must be at least {least}")
+    if value > MOST:
+        raise ConfigError(f"{where}{key}: must be at most {MOST}")
     return int(value)
 
 
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -47,6 +47,7 @@
     deadline: timedelta
     cap: int | None = None  # attempts, and whether it must not run twice, as the settings were when it came
     unsafe: bool = False
+    repeatable: bool = True  # it may be refused though it may have run
     attempts: list[Attempt] = field(default_factory=list)
     began: bool = False
     closed: bool = False  # the client has its answer, is getting it, or is gone
@@ -143,8 +144,11 @@
     if once:
         state.ledger.start(once)
     told = state.settings
-    unsafe = any(each.effect is api.Effect.UNSAFE for each in told.classes if each.name == event.cls)
-    state.requests[event.id] = Request(event, now, now + event.patience, told.max_attempts, unsafe)
+    cls = next((each for each in told.classes if each.name == event.cls), None)
+    state.requests[event.id] = Request(
+        event, now, now + event.patience, told.max_attempts,
+        cls is not None and cls.effect is api.Effect.UNSAFE, cls is None or cls.repeatable,
+    )
     yield ev.Wake(now + event.patience + BACKSTOP, (event.id, None, now))
     yield from decide(state, now, api.Request(
         event.id, event.cls, event.prompt, event.max_out, to_ns(event.patience),
@@ -314,7 +318,7 @@
         return
     if not (request.closed or request.began):
         writing = any(not attempt.over and not attempt.reads for attempt in request.attempts)
-        risky = request.unsafe and (request.may_have_run or writing)
+        risky = not request.repeatable and (request.may_have_run or writing)
         state.figures.count(request.asked.cls, "errored" if risky else "deferred")
         why = "the conductor ends"
         yield ev.Fail(event.id, why) if risky else ev.Refuse(event.id, told_pause(state, ev.ZERO), why)
--- a/hoplane/decision/interface.py
+++ b/hoplane/decision/interface.py
@@ -83,6 +83,11 @@
     aim_per_1000: int = 0
     token_aim: int | None = None
 
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether it may be refused, and so be sent again by its client, though it may have run."""
+        return self.effect is Effect.SAFE or (self.effect is Effect.KEYED and self.group is Group.ALL)
+
 
 @dataclass(slots=True, frozen=True)
 class TenantSettings:
--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -439,9 +439,8 @@
         """Give the final answer: refused where that is known to be harmless, else failed."""
         cls, request = job.cls, job.request.request
         harmless = not job.out and not any(attempt.risky for attempt in job.attempts)
-        repeatable = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
         pause = min(max(0, job.pause), self.settings.retry_after and self.settings.max_retry_after or 0)
-        self.actions.append(api.Refuse(request, pause) if harmless or repeatable else api.Fail(request))
+        self.actions.append(api.Refuse(request, pause) if harmless or cls.repeatable else api.Fail(request))
         job.ended = True
         self.cancel(job.out)
         return job
--- a/tests/test_second_site.py
+++ b/tests/test_second_site.py
@@ -27,7 +27,9 @@
 
 def conductor(retry_after=False):
     classes = (api.ClassSettings("c", 10**9, 4 * 10**9, api.Effect.SAFE),
-               api.ClassSettings("once", 10**9, 4 * 10**9, api.Effect.UNSAFE))
+               api.ClassSettings("once", 10**9, 4 * 10**9, api.Effect.UNSAFE),
+               *(api.ClassSettings(f"keyed-{group.value}", 10**9, 4 * 10**9, api.Effect.KEYED, group=group)
+                 for group in api.Group))
     settings = api.Settings(
         kinds=(api.KindSettings("both", api.Role.BOTH),), classes=classes, cancel=True,
         retry_after=retry_after, max_retry_after=10**9,
@@ -55,7 +57,10 @@
     assert bool(advice(refused[0].pause)) is allowed
 
 
-@pytest.mark.parametrize(("cls", "answer"), [("c", ev.Refuse), ("once", ev.Fail)])
+@pytest.mark.parametrize(("cls", "answer"), [
+    ("c", ev.Refuse), ("once", ev.Fail),
+    ("keyed-all", ev.Refuse), ("keyed-zone", ev.Fail), ("keyed-cell", ev.Fail),
+])
 def test_a_request_that_has_not_begun_is_answered_before_the_process_is_killed(cls, answer):
     state = conductor()
     assert any(isinstance(e, ev.Forward) for e in ask(state, cls))
