Answer a request at a stop once what is out for it has ended, a read too, where repeats do harm

Ruled out: what clients send again, connections closed unanswered (none), the front's own 503s (none).

Cause: `on_closing` (core/reducer.py), which ends what is open before SIGKILL where streams may go on elsewhere, refused with a read still out. A read has no effect however it ends, but only its end proves that: the module's own `finish` waits for it, this did not.

--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -51,6 +51,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     began: bool = False
     closed: bool = False  # the client has its answer, is getting it, or is gone
+    owed: bool = False  # closed as we end, and still to be answered
     holds: int = 0  # calls out that ask for a place
     cut: bool = False  # an attempt or a place asked for was cut off: what it left may show a moment later
     left: timedelta | None = None  # since when what it left may be held, None while a release is out
@@ -312,16 +313,9 @@
 def on_closing(state: Conductor, now: timedelta, event: ev.Closing) -> Iterator[ev.Effect]:
     """End a request: a stream that has begun is broken off, for its client to go on elsewhere.
 
-    Guards against requests that SIGKILL would leave without an answer."""
-    request = state.requests.get(event.id)
-    if request is None:
-        return
-    if not (request.closed or request.began):
-        writing = any(not attempt.over and not attempt.reads for attempt in request.attempts)
-        risky = not request.repeatable and (request.may_have_run or writing)
-        state.figures.count(request.asked.cls, "errored" if risky else "deferred")
-        why = "the conductor ends"
-        yield ev.Fail(event.id, why) if risky else ev.Refuse(event.id, told_pause(state, ev.ZERO), why)
+    Guards against requests that SIGKILL would leave without an answer: it comes with what is out."""
+    if request := state.requests.get(event.id):
+        request.owed = not (request.closed or request.began)
     yield from on_left(state, now, ev.Left(event.id))
 
 
@@ -472,13 +466,22 @@
 
 
 def sweep_up(state: Conductor, now: timedelta, id: str) -> Iterator[ev.Effect]:
-    """Forget a request whose answer is given and that has nothing out any more."""
+    """Forget a request whose answer is given and that has nothing out any more.
+
+    What is owed is given first. Guards against a refusal with anything out where repeats do harm, a read too:
+    only its end tells that it never ran."""
     request = state.requests.get(id)
-    if request is None or not request.closed or request.holds:
+    if request is None or not request.closed:
         return
-    if any(not attempt.over for attempt in request.attempts):
+    out = any(not attempt.over for attempt in request.attempts)
+    if request.owed and (request.repeatable or not out):
+        request.owed = False
+        risky = not request.repeatable and request.may_have_run
+        state.figures.count(request.asked.cls, "errored" if risky else "deferred")
+        why = "the conductor ends"
+        yield ev.Fail(id, why) if risky else ev.Refuse(id, told_pause(state, ev.ZERO), why)
+    if out or request.holds:
         return
     del state.requests[id]
     if request.asked.once:
         state.ledger.end(request.asked.once, now, request.may_have_run)
-    yield from ()
--- a/tests/test_second_site.py
+++ b/tests/test_second_site.py
@@ -31,7 +31,7 @@
                *(api.ClassSettings(f"keyed-{group.value}", 10**9, 4 * 10**9, api.Effect.KEYED, group=group)
                  for group in api.Group))
     settings = api.Settings(
-        kinds=(api.KindSettings("both", api.Role.BOTH),), classes=classes, cancel=True,
+        kinds=tuple(api.KindSettings(role.value, role) for role in api.Role), classes=classes, cancel=True,
         retry_after=retry_after, max_retry_after=10**9,
     )
     state = Conductor(settings, Router(settings, 1), Ledger(10, ev.timedelta(seconds=1)))
@@ -61,11 +61,23 @@
     ("c", ev.Refuse), ("once", ev.Fail),
     ("keyed-all", ev.Refuse), ("keyed-zone", ev.Fail), ("keyed-cell", ev.Fail),
 ])
-def test_a_request_that_has_not_begun_is_answered_before_the_process_is_killed(cls, answer):
+@pytest.mark.parametrize("kind", ["both", "read"])
+def test_a_request_that_has_not_begun_is_answered_before_the_process_is_killed(cls, answer, kind):
+    """Where repeats do harm, once what is out has ended: a read has no effect, however it ends."""
     state = conductor()
-    assert any(isinstance(e, ev.Forward) for e in ask(state, cls))
+    if kind == "read":
+        listed = [ev.Endpoint(name, "h:1", "z", name, 0, api.State.LIVE) for name in ("read", "write")]
+        reduce(state, ev.timedelta(seconds=1), ev.Listed(tuple(listed), True))
+    sends = [e for e in ask(state, cls) if isinstance(e, ev.Forward)]
+    assert [e.reads for e in sends] == [kind == "read"]
+    harmless, answer = cls in ("c", "keyed-all"), ev.Refuse if kind == "read" else answer
     effects = reduce(state, ev.timedelta(seconds=2), ev.Closing("r1"))
-    assert [type(e) for e in effects if not isinstance(e, ev.Wake)] == [answer, ev.Abandon]
+    wanted = [ev.Abandon, ev.Refuse] if harmless else [ev.Abandon]
+    assert [type(e) for e in effects if not isinstance(e, ev.Wake)] == wanted
+    effects = reduce(state, ev.timedelta(seconds=2), ev.Ended("r1", 0, api.Status.CANCELLED, written=True))
+    answers = [type(e) for e in effects if isinstance(e, ev.Refuse | ev.Fail | ev.Forward)]
+    assert answers == ([] if harmless else [answer])
+    assert not state.requests
 
 
 def test_a_stream_that_has_begun_is_broken_off_without_another_answer():
