--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -23,7 +23,7 @@
 from hoplane.decision.rules import Router
 from hoplane.net.aio import Spoilt, Stale
 from hoplane.net.clock import Clock
-from hoplane.net.pool import Pool, Sending
+from hoplane.net.pool import Drained, Pool, Sending
 from hoplane.net.server import Bodies
 from hoplane.net.wire import Exchange, Sink
 
@@ -239,6 +239,8 @@
             if self.loop.time() - begun > UNHEARD.total_seconds():
                 self.pool.connector.drop_idle(effect.endpoint.address)
             raise
+        except Drained:
+            return over(Status.CONNECT_FAILED)  # by us, which tells nothing of the connections kept
         except Stale:
             return over(Status.RESET if sent.is_set() else Status.CONNECT_FAILED, KEPT)
         except (aiohttp.ClientError, OSError, TimeoutError):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -599,6 +599,28 @@
     run(test())
 
 
+def test_idle_clients_that_fill_the_descriptors_keep_nothing_from_coming_back(tmp_path):
+    async def test():
+        async with desk(tmp_path, limits={"memory_mb": 96, "sockets": 64}) as program:
+            play, program.discovery.play = program.discovery.play, close_it
+            await program.line("discovery_lost")
+            idle = [await program.connect() for _ in range(64)]
+            await asyncio.sleep(0.35)  # as long as a new connection may be a usual client's
+            idle += [await program.connect() for _ in range(20)]
+            ready = await program.ask(message("GET /health/ready HTTP/1.1", Host="h"))
+            assert ready[0].split()[1] == "200"
+            assert (await program.ask(chat()))[0].split()[1] == "200"
+            program.discovery.play = play
+            drained = {**program.entries[0], "status": "Terminating"}
+            await program.discovery.tell([drained, program.entries[1]])
+            while (await program.line("endpoints"))["not_live"] != {"r1": "draining"}:
+                pass
+            for _, writer in idle:
+                writer.close()
+            assert not await program.faults()
+    run(test())
+
+
 def test_sighup_never_ends_the_program_also_while_it_stops(tmp_path):
     async def test():
         async with desk(tmp_path, write=hang) as program:
