Send no more of a request once it is given up, though its endpoint took nothing until then

By reading, for the term that nothing begins for a client that has left: a connection to an endpoint is closed by aiohttp with transport.close(), which first writes what asyncio still holds. An endpoint that takes nothing for a while, cut off or stopped, got the rest of a request that was given up long before, with its last byte, by which it counts; and the connection kept its descriptor until then. Peer.close (net/aio.py) now aborts: what was not written is dropped, the close itself is the same.

--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -115,8 +115,13 @@
             self.transport.abort()
 
     def close(self) -> None:
-        """Close it ourselves, which is no break; aiohttp tells it as one all the same."""
+        """Close it ourselves, which is no break; aiohttp tells it as one all the same.
+
+        Guards against a request that is given up and goes out all the same: asyncio would first write what it
+        still holds of it, however late its endpoint takes that, and keep the connection open until then."""
         self.idle = 0.0
+        if self.transport is not None:
+            self.transport.abort()
         super().close()
 
     def settle(self) -> None:
--- a/tests/test_aio.py
+++ b/tests/test_aio.py
@@ -147,3 +147,27 @@
                 await asyncio.wait_for(asyncio.gather(raw.ask(session), raw.answer(raw.taken[1], b"4")), 10)
         raw.listener.close()
     asyncio.run(test())
+
+
+def test_what_is_given_up_goes_no_further_though_its_endpoint_reads_again():
+    """An endpoint that takes nothing for a while: the rest of the request must not come once it does."""
+    async def test():
+        raw, loop, body = Raw(), asyncio.get_running_loop(), b"x" * 30_000_000
+        raw.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        async with aiohttp.ClientSession(connector=Connector()) as session:
+            asking = asyncio.create_task(session.post(raw.url, data=body))
+            made, _ = await asyncio.wait_for(loop.sock_accept(raw.listener), 10)
+            made.setblocking(False)
+            got = len(await asyncio.wait_for(loop.sock_recv(made, 1000), 10))
+            await asyncio.sleep(0.05)
+            asking.cancel()
+            await asyncio.wait({asking})
+            try:
+                while part := await asyncio.wait_for(loop.sock_recv(made, 1 << 20), 10):
+                    got += len(part)
+            except ConnectionError:
+                pass
+            assert 0 < got < len(body)
+        made.close()
+        raw.listener.close()
+    asyncio.run(test())
