Send no repeat after its class's window, though its connection comes up late

The reducer now knows when the window ends (Request.until, from the first attempt that may have run), tells it with the attempt (Forward.until), and `Sending.may` asks as the first byte is to go. What is held back counts as never connected, and the module chooses anew. Both tests fail without it.

--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -150,7 +150,8 @@
 class Forward:
     """Open an attempt: send the request to an endpoint, which is told `patience`.
 
-    `once`: it must not run twice, so it has to be known for as long as may be that it cannot have run."""
+    `once`: it must not run twice, so it has to be known for as long as may be that it cannot have run.
+    `until`: when it has to begin, as endpoints discard repeats of what may have run for so long only."""
 
     id: str
     attempt: int
@@ -158,6 +159,7 @@
     patience: timedelta
     reads: bool
     once: bool = False
+    until: timedelta | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -48,6 +48,8 @@
     cap: int | None = None  # attempts, and whether it must not run twice, as the settings were when it came
     unsafe: bool = False
     repeatable: bool = True  # it may be refused though it may have run
+    window: timedelta | None = None  # how long endpoints discard its repeats, where they do
+    until: timedelta | None = None  # when that ends, from the first attempt on that may have run
     attempts: list[Attempt] = field(default_factory=list)
     began: bool = False
     closed: bool = False  # the client has its answer, is getting it, or is gone
@@ -149,6 +151,7 @@
     state.requests[event.id] = Request(
         event, now, now + event.patience, told.max_attempts,
         cls is not None and cls.effect is api.Effect.UNSAFE, cls is None or cls.repeatable,
+        to_span(cls.window) if cls is not None and cls.effect is api.Effect.KEYED else None,
     )
     yield ev.Wake(now + event.patience + BACKSTOP, (event.id, None, now))
     yield from decide(state, now, api.Request(
@@ -205,6 +208,8 @@
         request.cut = True
     if not attempt.reads and status in MAY_HAVE_RUN:
         request.may_have_run = True
+        if request.until is None and request.window is not None:
+            request.until = attempt.sent + request.window
     yield from overdue(state, now, request)
     if not request.began and status is not Status.CONNECT_FAILED:
         yield from leave(state, now, request, attempt, status)
@@ -348,7 +353,10 @@
             patience = own
             yield ev.Wake(now + own, (action.request, index, request.taken))
         reads = role is api.Role.READ
-        yield ev.Forward(action.request, index, endpoint, patience, reads, not reads and request.unsafe)
+        yield ev.Forward(
+            action.request, index, endpoint, patience, reads, not reads and request.unsafe,
+            None if reads else request.until,
+        )
         return []
     request.attempts[index].over = True
     return [api.Outcome(action.request, index, action.server, status, 0, request.closed)]
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -165,11 +165,12 @@
         task.add_done_callback(lambda task: self.over(effect, task))
 
     def sending(self, effect: ev.Forward | ev.AskHold) -> Sending:
-        """Give what lets work go to an endpoint until it is told to drain, and tells when it went.
+        """Give what lets work go to an endpoint until a drain is told or its time is over.
 
         Guards against work for a client whose end has come and waits to be seen: by then an attempt may have
         waited for a connection, or the loop may be behind. It is told of here as any other end."""
         id, endpoint = effect.id, effect.endpoint
+        until = effect.until if isinstance(effect, ev.Forward) else None
 
         def may() -> bool:
             exchange = self.exchanges.get(id)
@@ -177,6 +178,9 @@
                 log.seldom("client_gone", request=id, endpoint=endpoint.name)
                 self.feed(ev.Left(id))
                 return False
+            if until is not None and self.clock.now() >= until:
+                log.seldom("repeat_too_late", request=id, endpoint=endpoint.name)
+                return False
             if takes := self.state.takes(endpoint):
                 self.last_sent[endpoint.name] = datetime.now(UTC)
             else:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -138,6 +138,25 @@
     assert core.of(ev.LetGo) and core.of(ev.Forward)
 
 
+@pytest.mark.parametrize("status", [Status.RESET, Status.FULL])
+def test_a_repeat_of_what_may_have_run_has_to_begin_while_endpoints_discard_it(status):
+    """Its connection may come up late, or the loop be behind: the module looks at the moment of choice."""
+    cls = api.ClassSettings("keyed", 10**9, 4 * 10**9, api.Effect.KEYED, window=300_000_000)
+    core = Core(classes=(cls,))
+    core.ask(cls="keyed")
+    first = core.read()
+    sent = core.now
+    core.do(ev.Ended("q", 1, status), 20 * MS)
+    (again,) = core.of(ev.Forward)
+    if again.reads:  # what was read went with it
+        for hold in core.of(ev.AskHold):
+            core.do(ev.HoldAnswered("q", hold.attempt, None))
+        core.do(ev.Ended("q", 2, Status.MISS), 10 * MS)
+        (again,) = core.of(ev.Forward)
+    assert first.until is None and not again.reads
+    assert again.until == (sent + 300 * MS if status is Status.RESET else None)
+
+
 def test_a_stream_ends_with_its_client(core):
     core.ask()
     core.read()
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -12,7 +12,7 @@
 from test_runtime import let_go, start
 
 from hoplane.core import release
-from hoplane.core.events import Asked, Endpoint, Left, LetGo
+from hoplane.core.events import Asked, Endpoint, Forward, Left, LetGo
 from hoplane.decision.interface import State
 from hoplane.fronts.platform import read_list
 from hoplane.net.pool import Drained, Pool, Sending
@@ -148,6 +148,21 @@
     asyncio.run(within(test(), 20))
 
 
+def test_a_repeat_whose_connection_comes_up_too_late_is_not_sent():
+    async def test():
+        async with late_connections(never_read, "reader") as (runtime, reader, writer, up, _):
+            ended, feed = [], runtime.feed
+            runtime.feed = lambda event: (ended.append(event), feed(event))
+            (first,) = runtime.sent.values()
+            (endpoint,) = (each for each in runtime.state.fleet.values() if each.name == "w1")
+            soon, later = (runtime.clock.now() + timedelta(seconds=n) for n in (-0.001, 60))
+            for until, may in ((soon, False), (later, True), (None, True)):
+                forward = Forward("q", 1, endpoint, timedelta(seconds=4), reads=False, until=until)
+                assert runtime.sending(forward).may() is may
+            assert not first.is_set() and not any(isinstance(each, Left) for each in ended)
+    asyncio.run(within(test(), 20))
+
+
 def test_the_last_byte_of_a_booking_stays_back_for_a_client_that_left_as_it_was_held():
     async def test():
         left, body = False, b"{}"
