--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -315,7 +315,7 @@
     for index, lane in enumerate(lanes):
         if not isinstance(lane, dict):
             raise ConfigError(f"{where}lanes.{index}: must be an object")
-        if lane.get("name") in [each.get("name") for each in lanes[:index]]:
+        if "name" in lane and lane["name"] in [each.get("name") for each in lanes[:index]]:
             raise ConfigError(f"{where}lanes.{index}.name: is another class's too")
         for key in ("target", "hard_limit"):
             above_zero(lane, key, f"{where}lanes.{lane.get('name', index)}.")
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -45,11 +45,9 @@
     asked: ev.Asked
     taken: timedelta
     deadline: timedelta
-    cap: int | None = None  # attempts, and whether it must not run twice, as the settings were when it came
-    unsafe: bool = False
-    repeatable: bool = True  # it may be refused though it may have run
-    window: timedelta | None = None  # how long endpoints discard its repeats, where they do
-    until: timedelta | None = None  # when that ends, from the first attempt on that may have run
+    cap: int | None = None  # attempts, and its class, as the settings were when it came
+    cls: api.ClassSettings | None = None
+    until: timedelta | None = None  # when endpoints discard its repeats no more, once it may have run
     attempts: list[Attempt] = field(default_factory=list)
     began: bool = False
     closed: bool = False  # the client has its answer, is getting it, or is gone
@@ -59,6 +57,15 @@
     left: timedelta | None = None  # since when what it left may be held, None while a release is out
     may_have_run: bool = False
 
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether it may be refused though it may have run."""
+        return self.cls is None or self.cls.repeatable
+
+    def has(self, effect: api.Effect) -> bool:
+        """Tell whether its class has this effect."""
+        return self.cls is not None and self.cls.effect is effect
+
 
 @dataclass(slots=True, frozen=True)
 class Held:
@@ -148,11 +155,7 @@
         state.ledger.start(once)
     told = state.settings
     cls = next((each for each in told.classes if each.name == event.cls), None)
-    state.requests[event.id] = Request(
-        event, now, now + event.patience, told.max_attempts,
-        cls is not None and cls.effect is api.Effect.UNSAFE, cls is None or cls.repeatable,
-        to_span(cls.window) if cls is not None and cls.effect is api.Effect.KEYED else None,
-    )
+    state.requests[event.id] = Request(event, now, now + event.patience, told.max_attempts, cls)
     yield ev.Wake(now + event.patience + BACKSTOP, (event.id, None, now))
     yield from decide(state, now, api.Request(
         event.id, event.cls, event.prompt, event.max_out, to_ns(event.patience),
@@ -208,8 +211,8 @@
         request.cut = True
     if not attempt.reads and status in MAY_HAVE_RUN:
         request.may_have_run = True
-        if request.until is None and request.window is not None:
-            request.until = attempt.sent + request.window
+        if request.until is None and request.has(api.Effect.KEYED):
+            request.until = attempt.sent + to_span(request.cls.window)
     yield from overdue(state, now, request)
     if not request.began and status is not Status.CONNECT_FAILED:
         yield from leave(state, now, request, attempt, status)
@@ -354,8 +357,8 @@
             yield ev.Wake(now + own, (action.request, index, request.taken))
         reads = role is api.Role.READ
         yield ev.Forward(
-            action.request, index, endpoint, patience, reads, not reads and request.unsafe,
-            None if reads else request.until,
+            action.request, index, endpoint, patience, reads,
+            not reads and request.has(api.Effect.UNSAFE), None if reads else request.until,
         )
         return []
     request.attempts[index].over = True
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -170,20 +170,18 @@
         would break, or a second answer, which it would take for its own and which may come a moment late."""
         if not self.keeping and self._loop.time() > self.again:
             self._keepalive_timeout = self.usual
-        fresh, ripe = [], self._loop.time()
+        rested, early = self._loop.time(), []
         if self.at_once != f"{key.host}:{key.port}":
-            ripe -= BEHIND.total_seconds()
-        for kept in list(self._conns.get(key, ())):
-            if kept[0].last > ripe:
-                fresh.append(kept)
-            elif kept[0].is_connected() and waiting_bytes(kept[0].transport) is None:
-                continue
+            rested -= BEHIND.total_seconds()
+        while found := await super()._get(key, traces):
+            if found.protocol.last > rested:
+                early.append(found)
+            elif waiting_bytes(found.transport) is not None:
+                found.close()
             else:
-                kept[0].close()
-            self._conns[key].remove(kept)
-        found = await super()._get(key, traces)
-        if fresh:
-            self._conns[key].extend(fresh)
+                break
+        for each in early:
+            each.release()
         return found
 
     def drop_idle(self, address: str | None = None) -> int:
@@ -219,17 +217,13 @@
         self.half = 0.0  # when the first bytes of a head came that is not whole yet, 0 where there is none
 
     @property
-    def resting(self) -> bool:
-        """Tell whether no request is open on it, and none has come that aiohttp has not begun on.
+    def idle(self) -> bool:
+        """Tell whether it waits for the next request, with no head on its way; a slow one does not count.
 
         Guards against a close between two steps of aiohttp's: it takes a request out of its queue a pass of
         the loop before it notes that one is open, and forgets it before its answer is written."""
-        return self._waiter is not None and not self._waiter.done()
-
-    @property
-    def idle(self) -> bool:
-        """Tell whether it rests and no head is on its way; one that is slow does not count."""
-        return self.resting and self.half < self._loop.time() - FRESH.total_seconds()
+        waits = self._waiter is not None and not self._waiter.done()
+        return waits and self.half < self._loop.time() - FRESH.total_seconds()
 
     @property
     def gone(self) -> bool:
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -23,7 +23,7 @@
 
 
 class Drained(aiohttp.ClientConnectionError):
-    """A call that was not sent, as its endpoint had been told to drain since, or its client had left."""
+    """A call that we held back as it was to go; see `Sending`."""
 
 
 class Sending(asyncio.Event):
@@ -33,6 +33,12 @@
         super().__init__()
         self.may = may
 
+    def go(self) -> None:
+        """Note that bytes go; where they may not any more, the call ends here with none of them written."""
+        if not self.may():
+            raise Drained("held back: its endpoint drains, its client has left or its time is over")
+        self.set()
+
 
 class Pool:
     """A client session that never waits for a connection, resends nothing and counts its sockets."""
@@ -101,9 +107,7 @@
         shows in that moment, while the request cannot have run and may go out again."""
         yield body[:-1]
         await asyncio.sleep(LAST_BYTE.total_seconds())
-        if not sent.may():
-            raise Drained("told to drain since, or its client has left")
-        sent.set()
+        sent.go()
         yield body[-1:]
 
     @staticmethod
@@ -113,9 +117,7 @@
         Guards against the time between a decision and its first byte: a connection that came up late, a place
         asked for once a read is sent, a loop that is behind."""
         if context is not None and not context.is_set():
-            if not context.may():
-                raise Drained("told to drain since, or its client has left")
-            context.set()
+            context.go()
 
     def request(self, method: str, address: str, path: str, sent: Sending | None = None, **more):
         """Send a call; `sent` is set once its first bytes may have gone, and asked before they go."""
--- a/tests/test_odd_settings.py
+++ b/tests/test_odd_settings.py
@@ -63,3 +63,6 @@
     assert len(load({**SETTINGS, "lanes": lanes, "projects": []}).settings.classes) == 40
     with pytest.raises(ConfigError, match="lanes.1.name: is another class's too"):
         load({**SETTINGS, "lanes": [lane, lane]})
+    nameless = {key: value for key, value in lane.items() if key != "name"}
+    with pytest.raises(ConfigError, match="lanes.0.name is missing"):
+        load({**SETTINGS, "lanes": [nameless, nameless]})
