Hold the last byte of a booking back for longer where a test resets its connection meanwhile

The stand-in resets a booking's connection once it has read the head; the program keeps the last byte back for 5 ms. On a busy machine the stand-in came to its reset later than that, the last byte had gone, and the booking may have run: 502 is right then. Ruled out: a change of the program, as the same test passes alone. Lines at fault: the test rested on the machine's speed. Now the program is started with that span a hundredfold (`first` in tests/standins.py), so the reset always comes first; with the span at zero in hoplane/net/pool.py the test fails, as it should.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -194,9 +194,11 @@
 
 
 @asynccontextmanager
-async def started(*arguments, address, pass_fds=(), **environ):
+async def started(*arguments, address, pass_fds=(), first="", **environ):
+    """Start the program; `first` is run in its process before it, as to make one of its spans long."""
+    begin = ("-c", f"{first}\nimport sys; from hoplane import __main__ as it; sys.exit(it.start())")
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "hoplane", *arguments, pass_fds=pass_fds,
+        sys.executable, *(begin if first else ("-m", "hoplane")), *arguments, pass_fds=pass_fds,
         env={**os.environ, **environ}, stderr=asyncio.subprocess.PIPE, limit=1 << 20,
     )
     program = Program(process, address)
@@ -210,7 +212,7 @@
 
 
 @asynccontextmanager
-async def platform(tmp_path, entries, address=None, environ=None, pass_fds=(), **changes):
+async def platform(tmp_path, entries, address=None, environ=None, pass_fds=(), first="", **changes):
     """Start the program as the platform does, before a discovery that lists the entries."""
     address = address or f"127.0.0.1:{free_port()}"
     async with Discovery(entries) as discovery:
@@ -220,7 +222,7 @@
         file = tmp_path / "config.json"
         file.write_text(json.dumps(told))
         environ = {"EDGE_CONFIG": str(file), **(environ or {})}
-        async with started(address=address, pass_fds=pass_fds, **environ) as program:
+        async with started(address=address, pass_fds=pass_fds, first=first, **environ) as program:
             program.discovery, program.file, program.told = discovery, file, told
             yield program
 
--- a/tests/test_bad_peers.py
+++ b/tests/test_bad_peers.py
@@ -220,15 +220,18 @@
 
 
 def test_a_booking_whose_connection_is_reset_before_its_last_byte_never_ran(tmp_path):
+    # The reset has to come while the last byte stays back, on a slow machine too: that span is a hundredfold.
+    longer = "from hoplane.net import pool; pool.LAST_BYTE *= 100"
+
     async def test():
         async with Server(read_it) as reader, Resets(write_it) as writer:
             entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
-            async with platform(tmp_path, entries) as program:
+            async with platform(tmp_path, entries, first=longer) as program:
                 assert (await program.ask(chat(cls="booking")))[0].split()[1] == "200"
                 (call,) = writer.named("POST /v1/chat")
                 assert not writer.left and call[2] == BODY and call[1]["content-length"] == "15"
         (tmp_path / "v2").mkdir()
-        async with Resets(answer_v2) as server, sidecar(tmp_path / "v2", server) as program:
+        async with Resets(answer_v2) as server, sidecar(tmp_path / "v2", server, first=longer) as program:
             assert await status(program, infer()) == 200
             assert not server.left and len(server.calls) == 1
     run(test())
--- a/tests/test_kserve.py
+++ b/tests/test_kserve.py
@@ -52,7 +52,7 @@
 
 
 @asynccontextmanager
-async def sidecar(tmp_path, *servers, allowed=""):
+async def sidecar(tmp_path, *servers, allowed="", first=""):
     """Start the program with the file that the repository ships, at an address and endpoints of ours."""
     address = f"127.0.0.1:{free_port()}"
     text = (ROOT / "deploy/kserve.toml").read_text()
@@ -62,7 +62,7 @@
     (tmp_path / "xds/clusters.json").write_text((ROOT / "deploy/xds/clusters.json").read_text())
     file = tmp_path / "xds/endpoints.json"
     file.write_text(assignment(*[(server.address, "HEALTHY") for server in servers]))
-    async with started(str(tmp_path / "kserve.toml"), address=address) as program:
+    async with started(str(tmp_path / "kserve.toml"), address=address, first=first) as program:
         program.endpoints, program.file = file, tmp_path / "kserve.toml"
         yield program
 
