Tell what is left as an attempt goes; keep a connection just taken; end a start in order

Found by reading line by line for two events that cross; each is forced by a test that fails without its part. - The time that an attempt tells its endpoint was that of the decision (fronts/platform.py, call): behind a connection that comes up late it was too much by that wait, and past the client's time an attempt still went. The header is now written as the head goes (Sending.told), and with no time left nothing goes. - Door.drop_idle closed a connection that was accepted just now, at a stop those that waited at the listener too, with its first request on its way; only make_room spared it. One rule for both now (Caller.rests), 0.3 s as before. - Two reloads in a row: Discovery.watch asked only whether the next watch had answered. With that one silent and the newest heard, the oldest one's last answer was taken over the newest list. Discovery.outdated asks all watches after it. - SIGTERM while modules load or the first list is awaited met the signal's default: exit by signal, which looks like a crash. signals.note and heed_end see to it from the first moment: status 0, never listening. Ruled out on the way: a list lost to the old watch's end, an attempt after a cancel in the same pass, a second hold answer.

--- a/hoplane/__main__.py
+++ b/hoplane/__main__.py
@@ -6,8 +6,8 @@
 
 
 def start() -> int:
-    """Heed SIGHUP, and only then load what takes half of a start: its default would end the process."""
-    signals.note_reload()
+    """Heed signals, and only then load what takes half of a start: their defaults would end the process."""
+    signals.note()
     from hoplane.conductor import main
 
     return main(sys.argv[1:])
--- a/hoplane/conductor.py
+++ b/hoplane/conductor.py
@@ -154,8 +154,18 @@
     async def serve(self) -> None:
         """Serve until a signal asks for the end, and then to the end of what was taken."""
         stop = asyncio.Event()
+        signals.heed_end(stop.set)
         await self.watch.first()
-        signals.heed(stop.set, self.reload)
+        if not stop.is_set():
+            await self.work(stop)
+        signals.ignore_reload()
+        self.watching.cancel()
+        await self.pool.close()
+        log.say("stopped", **self.pool.tally.line())
+
+    async def work(self, stop: asyncio.Event) -> None:
+        """Take clients from here on until the end is asked for, and finish what was taken."""
+        signals.heed_reload(self.reload)
         await self.front.server.start()
         if self.operator:
             await self.operator.start()
@@ -178,11 +188,8 @@
             await runtime.rest()
         for part in self.beside_path:
             await part.stop()
-        signals.ignore_reload()
-        for task in (*beside, self.watching):
+        for task in beside:
             task.cancel()
-        await self.pool.close()
-        log.say("stopped", **self.pool.tally.line())
 
 
 async def serve(config: Config, again: Callable[[Config], Config]) -> None:
--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -157,6 +157,9 @@
     def call(self, forward: Forward) -> Call:
         return Call("POST", self.path, self.headers, self.body)
 
+    def told(self, left: timedelta) -> Mapping[str, str]:
+        return {}
+
     def read_head(self, status: int, headers: Mapping[str, str], body: bytes) -> Verdict:
         self.sink.status = status
         self.sink.headers = {name: headers[name] for name in KEPT_HEADERS if name in headers}
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -157,9 +157,10 @@
         return self.sink.request.protocol.gone
 
     def call(self, forward: Forward) -> Call:
-        left = max(1, forward.patience // timedelta(milliseconds=1))
-        headers = {**self.headers, ID: self.asked.id, LEFT_MS: str(left)}
-        return Call(self.method, self.path, headers, self.body)
+        return Call(self.method, self.path, {**self.headers, ID: self.asked.id}, self.body)
+
+    def told(self, left: timedelta) -> Mapping[str, str]:
+        return {LEFT_MS: str(max(1, left // timedelta(milliseconds=1)))}
 
     def read_head(self, status: int, headers: Mapping[str, str], body: bytes) -> Verdict:
         return read_head(status, headers, body)
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -225,6 +225,14 @@
         waits = self._waiter is not None and not self._waiter.done()
         return waits and self.half < self._loop.time() - FRESH.total_seconds()
 
+    @property
+    def rests(self) -> bool:
+        """Tell whether it is idle and may be closed: not over a head that came unread, nor one on its way.
+
+        Guards against the close of a connection just taken, whose first request comes a moment later."""
+        ripe = self.served or self.since < self._loop.time() - FRESH.total_seconds()
+        return self.idle and ripe and not waiting_bytes(self.transport)
+
     @property
     def gone(self) -> bool:
         """Tell whether the client has closed it, also where the loop has not come to see that yet."""
@@ -367,10 +375,8 @@
         if self.lingering:
             self.lingering.popitem(last=False)[0].force_close()
             return True
-        ripe = self._loop.time() - FRESH.total_seconds()
-        idle = [each for each in self._connections if each.idle and (each.served or each.since < ripe)]
-        for each in sorted(idle, key=lambda each: (each.served, each.since)):
-            if not waiting_bytes(each.transport):
+        for each in sorted(self._connections, key=lambda each: (each.served, each.since)):
+            if each.rests:
                 each.force_close()
                 return True
         return False
@@ -385,7 +391,7 @@
 
         Guards against a close that crosses a request on its way: what the system holds is looked at first."""
         for connection in self.connections:
-            if connection.idle and not waiting_bytes(connection.transport):
+            if connection.rests:
                 # Guards against idle connections that stay open: aiohttp's close() ends their task alone.
                 connection.force_close()
 
--- a/hoplane/net/discovery.py
+++ b/hoplane/net/discovery.py
@@ -61,6 +61,14 @@
             self.feed(listed)
         return len(listed.endpoints)
 
+    @property
+    def outdated(self) -> bool:
+        """Tell whether a watch after ours has answered, however many reloads lie between."""
+        after = self.after
+        while after is not None and not after.heard.is_set():
+            after = after.after
+        return after is not None
+
     async def first(self) -> None:
         """Wait for the first answer, unless discovery is silent: then what is known has to do.
 
@@ -103,7 +111,7 @@
                     body = await answer.read()
             if answer.status != 200:
                 raise ValueError(f"status {answer.status}")
-            if self.after is None or not self.after.heard.is_set():
+            if not self.outdated:
                 self.pool.tally["list_lines"] += self.take(orjson.loads(body))
         except Exception as error:
             self.pool.tally["watches_failed"] += 1
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import suppress
 from datetime import timedelta
 from weakref import WeakSet
@@ -29,9 +29,11 @@
 class Sending(asyncio.Event):
     """Set once a call's first bytes may have gone; `may` tells, just before they go, whether they may."""
 
-    def __init__(self, may: Callable[[], bool] = lambda: True) -> None:
+    def __init__(
+        self, may: Callable[[], bool] = lambda: True, told: Callable[[], Mapping[str, str]] = dict
+    ) -> None:
         super().__init__()
-        self.may = may
+        self.may, self.told = may, told  # `told` gives the headers that tell of this moment
 
     def go(self) -> None:
         """Note that bytes go; where they may not any more, the call ends here with none of them written."""
@@ -56,7 +58,7 @@
         )
         self.watch(config.discovery)
         trace = TraceConfig(trace_config_ctx_factory=lambda trace_request_ctx=None: trace_request_ctx)
-        trace.on_request_headers_sent.append(self.sent)
+        trace.on_request_headers_sent.append(self.head)
         trace.on_request_chunk_sent.append(self.sent)
         # Guards against a total time-out of five minutes, which would cut long streams, and inflating.
         self.session = aiohttp.ClientSession(
@@ -110,6 +112,13 @@
         sent.go()
         yield body[-1:]
 
+    @classmethod
+    async def head(cls, session: object, context: Sending | None, params: object) -> None:
+        """Let a call's head go, with what it tells of the moment in which it does."""
+        await cls.sent(session, context, params)
+        if context is not None:
+            params.headers.update(context.told())
+
     @staticmethod
     async def sent(session: object, context: Sending | None, params: object) -> None:
         """Note that bytes of a call are on their way; what may not go any more ends here, with none written.
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from contextlib import suppress
 from dataclasses import replace
 from datetime import UTC, datetime, timedelta
@@ -174,7 +174,13 @@
         Guards against work for a client whose end has come and waits to be seen: by then an attempt may have
         waited for a connection, or the loop may be behind. It is told of here as any other end."""
         id, endpoint = effect.id, effect.endpoint
-        until = effect.until if isinstance(effect, ev.Forward) else None
+        until = deadline = None
+        if isinstance(effect, ev.Forward):
+            until, deadline = effect.until, self.clock.now() + effect.patience
+
+        def told() -> Mapping[str, str]:
+            """Guards against a time from before a wait for the connection, which is more than is left."""
+            return {} if deadline is None else self.exchanges[id].told(deadline - self.clock.now())
 
         def may() -> bool:
             exchange = self.exchanges.get(id)
@@ -185,6 +191,9 @@
             if until is not None and self.clock.now() >= until:
                 log.seldom("repeat_too_late", request=id, endpoint=endpoint.name)
                 return False
+            if deadline is not None and self.clock.now() >= deadline:
+                log.seldom("attempt_too_late", request=id, endpoint=endpoint.name)
+                return False
             if not self.state.takes(endpoint):
                 log.seldom("send_stopped", endpoint=endpoint.name)
                 return False
@@ -194,7 +203,7 @@
             self.last_sent[endpoint.name] = datetime.now(UTC)
             return True
 
-        return Sending(may)
+        return Sending(may, told)
 
     def abandon(self, effect: ev.Abandon) -> None:
         if task := self.attempts.get((effect.id, effect.attempt)):
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -193,14 +193,18 @@
             writer.close()
 
 
-@asynccontextmanager
-async def started(*arguments, address, pass_fds=(), first="", **environ):
+async def spawn(*arguments, pass_fds=(), first="", **environ):
     """Start the program; `first` is run in its process before it, as to make one of its spans long."""
     begin = ("-c", f"{first}\nimport sys; from hoplane import __main__ as it; sys.exit(it.start())")
-    process = await asyncio.create_subprocess_exec(
+    return await asyncio.create_subprocess_exec(
         sys.executable, *(begin if first else ("-m", "hoplane")), *arguments, pass_fds=pass_fds,
         env={**os.environ, **environ}, stderr=asyncio.subprocess.PIPE, limit=1 << 20,
     )
+
+
+@asynccontextmanager
+async def started(*arguments, address, **how):
+    process = await spawn(*arguments, **how)
     program = Program(process, address)
     try:
         await program.line("started")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -122,6 +122,24 @@
     run(test)
 
 
+@pytest.mark.parametrize("close", ["drop_idle", "make_room"])
+def test_a_connection_just_taken_is_to_close_while_its_first_request_is_on_its_way(monkeypatch, close):
+    monkeypatch.setattr(aio, "FRESH", timedelta(seconds=60))
+
+    async def test():
+        async with serving() as serves:
+            clients = [Client(serves.port) for _ in range(2)]
+            while len(found := [each for each in serves.door.connections if each.idle]) < 2:
+                await asyncio.sleep(0)
+            (old,) = [each for each in found if each.peername == clients[0].getsockname()]
+            old.since -= 61
+            getattr(serves.door, close)()
+            assert await clients[0].ended() == b"", "one that has long said nothing may go"
+            clients[1].send(ASKED)
+            assert (await clients[1].answer()).endswith(b"well")
+    run(test)
+
+
 def test_half_a_head_that_stays_half_does_not_keep_its_place():
     async def test():
         async with serving() as serves:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -26,6 +26,7 @@
     message,
     platform,
     read_message,
+    spawn,
     within,
 )
 
@@ -536,6 +537,64 @@
     run(test())
 
 
+def test_what_an_agent_tells_two_reloads_later_is_too_old(tmp_path):
+    """The agent between is silent; the newest has answered before the oldest one's last call ends."""
+    async def test():
+        async with desk(tmp_path) as program, Server(hang) as silent:
+            entries, go_on, done = program.entries, asyncio.Event(), asyncio.Event()
+
+            async def late(call, writer):
+                body = json.dumps({"index": 9, "snapshot": True, "endpoints": entries[:1]}).encode()
+                if not go_on.is_set():
+                    program.reload(discovery=silent.address)
+                    await silent.wait_for("GET /registry/instances")
+                    program.reload(discovery=moved.address)
+                    await go_on.wait()
+                writer.write(message("HTTP/1.1 200 OK", body))
+                done.set()
+
+            async with Discovery([{**entries[0], "status": "Terminating"}, entries[1]]) as moved:
+                program.discovery.play = late
+                assert (await program.line("endpoints"))["not_live"] == {"r1": "draining"}
+                go_on.set()
+                await within(done.wait())
+                await moved.wait_for("GET /registry/instances?since=1", 3)
+                await program.stop()
+                rest = (await within(program.process.stderr.read())).splitlines()
+                assert not [line for line in rest if b'"endpoints"' in line], "nothing of it was taken"
+    run(test())
+
+
+LOADING = """
+import importlib.abc, os, signal, sys
+class Loading(importlib.abc.MetaPathFinder):
+    def find_spec(self, name, path, target=None):
+        if name == "hoplane.conductor":
+            os.kill(os.getpid(), signal.SIGTERM)
+sys.meta_path.insert(0, Loading())
+"""
+
+
+@pytest.mark.parametrize("when", ["modules are loaded", "the first list is awaited"])
+def test_a_sigterm_while_the_program_starts_ends_it_in_order(tmp_path, when):
+    async def test():
+        async def ended(call, writer):
+            process.send_signal(signal.SIGTERM)
+            await hang(call, writer)
+
+        async with Server(ended) as agent:
+            told = {"name": "n1", "listen": f"127.0.0.1:{free_port()}", "discovery": agent.address,
+                    "seed": "8c1f", "limits": {"memory_mb": 192, "sockets": 1024}, "settings": SETTINGS}
+            (tmp_path / "config.json").write_text(json.dumps(told))
+            first = LOADING if when == "modules are loaded" else ""
+            process = await spawn(EDGE_CONFIG=str(tmp_path / "config.json"), first=first)
+            log = await within(process.stderr.read())
+            assert await within(process.wait()) == 0, log
+            assert b'"started"' not in log and b"Traceback" not in log
+            assert (b'"stopped"' in log) is (not first)
+    run(test())
+
+
 def test_a_sighup_while_the_program_starts_is_heeded_once_it_has(tmp_path):
     """Its default would end the process, and the file may be newer than the one that was read."""
     async def test():
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -87,6 +87,7 @@
             gone=False, call=lambda forward: call,
             refuse=lambda pause: told.set(), fail=lambda clash: told.set(),
             read_head=lambda *_: SimpleNamespace(status=None, load={}),
+            told=lambda left: {"X-Left": str(left / timedelta(seconds=1))},
         )
         runtime.feed(Asked("q", "lookup", 100, 20, timedelta(seconds=4), session="s"))
         yield runtime, reader, writer, up, told
@@ -163,6 +164,27 @@
     asyncio.run(within(test(), 20))
 
 
+def test_an_attempt_whose_connection_comes_up_late_tells_the_time_that_is_left_then():
+    async def test():
+        async with late_connections(never_read, "reader") as (runtime, reader, _, up, _):
+            after = runtime.clock.now()
+            await asyncio.sleep(0.1)
+            waited = runtime.clock.now() - after
+            up.set()
+            (call,) = await reader.wait_for("POST /v1/chat")
+            assert 0 < float(call[1]["x-left"]) <= 4 - waited.total_seconds()
+    asyncio.run(within(test(), 20))
+
+
+def test_an_attempt_whose_connection_comes_up_after_its_client_s_time_is_not_sent():
+    async def test():
+        async with late_connections(never_read, "reader") as (runtime, *_):
+            (endpoint,) = (each for each in runtime.state.fleet.values() if each.name == "w1")
+            for patience, may in ((timedelta(), False), (timedelta(seconds=60), True)):
+                assert runtime.sending(Forward("q", 1, endpoint, patience, reads=False)).may() is may
+    asyncio.run(within(test(), 20))
+
+
 def test_the_last_byte_of_a_booking_stays_back_for_a_client_that_left_as_it_was_held():
     async def test():
         left, body = False, b"{}"
