Spread prefixes over readers where a conductor has seen too little to know a hot one

Seen, with each outcome logged over 186 conductors: readers read 34,000 to 286,000 tokens in 25 s at 8 to 15 tokens a ms, so some were busy for 24 of 25 s and others for 3; late and refused requests were those at the busy ones. One prefix drew 19% of the reads, the next 8%; each conductor sees some 14 requests, so most prefixes are met once, and what was met once counted as drawing nothing: all conductors sent it to the same one reader.

Lines at fault: decision/rules.py, readers: count - 1 over all + 10. Now half a request is thought of each prefix (UNSEEN): with few requests seen among many readers it has several homes, with many seen, or few readers, one as before. And read_end: a prompt's own reading time, by a speed that few reads show too low, counts only up to the wait that is there; alone it refused long prompts at idle readers.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -36,7 +36,7 @@
 SPILL = 0.5  # a reader takes what it can read in this share of the aim, our part of it
 HOMES = 4.0  # readers of a prefix for each reader's part of all requests that it draws
 POINTS, PAIRED = 16, 0.5  # a reader's points on the ring, and their least share where few writers are near
-DRAWN_MIN = 10  # requests that are added to all when a prefix's part of them is worked out
+DRAWN_MIN, UNSEEN = 10, 0.5  # requests that a prefix's part of all is worked out with: added, not counted
 FORGET, TELLING = 0.98, 1000  # what is left of the best read speed with each read; tokens that the first has
 OTHER_CELL, OTHER_ZONE = 0.8, 1.2  # writer's memories that a move out of the cell weighs, out of the zone
 HOLDS = 4  # places asked for during a read
@@ -547,9 +547,9 @@
         return max(0, waits, round(server.lag * fading))
 
     def read_end(self, job: Job, server: Server) -> int:
-        """Guess how long a read would take at a server, with what waits there."""
+        """Guess a read's end, its own time up to what waits there: by few reads, speeds seem too low."""
         ahead = max(self.delay(server), self.reading_time(server.waiting))
-        return ahead + self.reading_time(self.unread(job, server))
+        return ahead + min(ahead, self.reading_time(self.unread(job, server)))
 
     def interval(self, server: Server) -> int:
         """Give the mean time between two of our sends to a server of this role."""
@@ -598,7 +598,7 @@
         well = set(self.usable(READERS, job.pair))
         ring = [s for s in self.ring.walk(job.request.prefix or job.request.session or "") if s in well]
         if job.request.prefix and ring:
-            part = max(0.0, self.drawn[job.request.prefix].count - 1) / (self.drawn[""].count + DRAWN_MIN)
+            part = (self.drawn[job.request.prefix].count - UNSEEN) / (self.drawn[""].count + DRAWN_MIN)
             first = max(range(1 + int(HOMES * part * len(ring))), key=lambda n: mix(f"{job.spot} {n}"))
             ring = ring[first:] + ring[:first]
         if job.row is not None:
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -210,6 +210,22 @@
     assert 3 < len(drawn) <= 20
 
 
+def test_a_prefix_that_many_routers_have_hardly_seen_is_not_read_at_one_home_by_all_of_them():
+    """Each of many sees too little to know a hot one; one that has seen much reads a rare one at its home."""
+    fleet = tuple(entry(100 + n, "reader") for n in range(60)) + FLEET[2:]
+
+    def home(router, before):
+        desk = Desk(fleet=fleet, seed=router)
+        for number in range(before):
+            desk.ask(f"b{number}", prefix=f"other {number}")
+            desk.leave(f"b{number}")
+        desk.ask("r", prefix="hot", session=f"s{router}")
+        return desk.sent()[0]
+
+    assert len({home(router, 2) for router in range(40)}) >= 6
+    assert len({home(router, 300) for router in range(4)}) == 1
+
+
 def test_a_reader_beside_few_writers_has_less_of_the_ring():
     fleet = (
         *(entry(100 + n, "reader", 0) for n in range(3)), entry(200, "writer", 0),
