Spread hardly seen prefixes only where conductors outnumber readers

Now (decision/homes.py, pure) it counts by the part of conductors that there are beyond one for each reader: with as many readers as conductors each prefix has its one home as before.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -11,6 +11,7 @@
 from statistics import median
 
 from . import interface as api
+from .homes import homes
 from .interface import Effect, Group, Role, State, Status
 from .kept import Kept
 from .places import Places
@@ -34,9 +35,7 @@
 IDLE = 120 * SECOND  # a session's row, and what a prefix drew, count no more after this
 BLEND = 0.1  # weight of a new value in a running average
 SPILL = 0.5  # a reader takes what it can read in this share of the aim, our part of it
-HOMES = 4.0  # readers of a prefix for each reader's part of all requests that it draws
 POINTS, PAIRED = 16, 0.5  # a reader's points on the ring, and their least share where few writers are near
-DRAWN_MIN, UNSEEN = 10, 0.5  # requests that a prefix's part of all is worked out with: added, not counted
 FORGET, TELLING = 0.98, 1000  # what is left of the best read speed with each read; tokens that the first has
 OTHER_CELL, OTHER_ZONE = 0.8, 1.2  # writer's memories that a move out of the cell weighs, out of the zone
 HOLDS = 4  # places asked for during a read
@@ -547,9 +546,9 @@
         return max(0, waits, round(server.lag * fading))
 
     def read_end(self, job: Job, server: Server) -> int:
-        """Guess a read's end, its own time up to what waits there: by few reads, speeds seem too low."""
+        """Guess how long a read would take at a server, with what waits there."""
         ahead = max(self.delay(server), self.reading_time(server.waiting))
-        return ahead + min(ahead, self.reading_time(self.unread(job, server)))
+        return ahead + self.reading_time(self.unread(job, server))
 
     def interval(self, server: Server) -> int:
         """Give the mean time between two of our sends to a server of this role."""
@@ -598,8 +597,9 @@
         well = set(self.usable(READERS, job.pair))
         ring = [s for s in self.ring.walk(job.request.prefix or job.request.session or "") if s in well]
         if job.request.prefix and ring:
-            part = (self.drawn[job.request.prefix].count - UNSEEN) / (self.drawn[""].count + DRAWN_MIN)
-            first = max(range(1 + int(HOMES * part * len(ring))), key=lambda n: mix(f"{job.spot} {n}"))
+            seen, total = self.drawn[job.request.prefix].count - 1, self.drawn[""].count
+            shared = homes(seen, total, len(ring), self.settings.routers)
+            first = max(range(shared), key=lambda n: mix(f"{job.spot} {n}"))
             ring = ring[first:] + ring[:first]
         if job.row is not None:
             ring.sort(key=lambda s: s.entry.server != job.row.reader)
