Count a long prompt's own reading time only as far as a conductor knows its readers

Seen with outcomes logged: late() refuses long prompts by their own reading time, which a conductor of 186 guesses 3.4 times too high in the median (what others had read is kept) and by speeds that are other conductors' queues as well.

Lines at fault: decision/rules.py, read_end. Its own part now counts by seen (decision/homes.py): whole while there is a reader for each conductor, so few conductors decide as before; readers / conductors beyond. The same part as for prefixes.

--- a/hoplane/decision/rules.py
+++ b/hoplane/decision/rules.py
@@ -11,7 +11,7 @@
 from statistics import median
 
 from . import interface as api
-from .homes import homes
+from .homes import homes, seen
 from .interface import Effect, Group, Role, State, Status
 from .kept import Kept
 from .places import Places
@@ -546,9 +546,10 @@
         return max(0, waits, round(server.lag * fading))
 
     def read_end(self, job: Job, server: Server) -> int:
-        """Guess how long a read would take at a server, with what waits there."""
-        ahead = max(self.delay(server), self.reading_time(server.waiting))
-        return ahead + self.reading_time(self.unread(job, server))
+        """Guess how long a read would take, with what waits there; its own time counts as far as known."""
+        known = seen(len(self.live(READERS)), self.settings.routers)
+        own = round(known * self.reading_time(self.unread(job, server)))
+        return max(self.delay(server), self.reading_time(server.waiting)) + own
 
     def interval(self, server: Server) -> int:
         """Give the mean time between two of our sends to a server of this role."""
@@ -597,8 +598,7 @@
         well = set(self.usable(READERS, job.pair))
         ring = [s for s in self.ring.walk(job.request.prefix or job.request.session or "") if s in well]
         if job.request.prefix and ring:
-            seen, total = self.drawn[job.request.prefix].count - 1, self.drawn[""].count
-            shared = homes(seen, total, len(ring), self.settings.routers)
+            shared = homes(self.drawn, job.request.prefix, len(ring), self.settings.routers)
             first = max(range(shared), key=lambda n: mix(f"{job.spot} {n}"))
             ring = ring[first:] + ring[:first]
         if job.row is not None:
--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -195,3 +195,17 @@
         desk.first(writer, f"q{n}")
         desk.outcome(api.Status.OK, writer, f"q{n}", 1, after=100 * MS, closed=True)
     assert refused <= 5, "for a span, till another read tells more"
+
+
+def test_a_long_prompt_s_own_time_counts_as_far_as_a_router_knows_its_readers():
+    """One of many guesses it too high: others' work slowed the reads that it goes by, and left more kept."""
+    def ends(routers):
+        desk = Desk(FLEET[1:], writers_read=False, routers=routers, retry_after=True)
+        desk.ask("first")
+        desk.outcome(api.Status.MISS, desk.sent()[0], "first", after=900 * MS)
+        desk.leave("first")
+        desk.ask("long", prompt=6000, after=10 * MS)
+        return desk.ends()
+
+    assert ends(1) == [api.Refuse], "2.7 s at an aim of 1 s, with one router to the one reader"
+    assert ends(30) == [], "of which a thirtieth is known"
