Wake the stand-ins' waiters without a lock, which a cancelled one could hold for ever

What does not heed a cancel is Condition.wait, which asks for its lock again first; with wait_for around it, as in the stand-in of discovery, a cancel can leave that lock held by nobody, and the test's thousands of short watches give it many chances. It was not seen again in the few runs made of that test alone under load, with or without the change; a probe of the two alone, twenty waiters cancelled at random, left the lock held in its third of 400 tries and tasks that heed no cancel soon after, on the Python used here (3.11). Now a Bell: an event that is replaced as it rings, with no lock to be left held (tests/standins.py).

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -55,11 +55,26 @@
 DONE = b"data: [DONE]\n\n: X-Backend-Load: latency_ms=3,x0=0.5\n\n"
 
 
+class Bell:
+    """Wakes all who wait for something; with no lock that one who is cancelled could leave held for ever."""
+
+    def __init__(self):
+        self.event = asyncio.Event()
+
+    def ring(self):
+        event, self.event = self.event, asyncio.Event()
+        event.set()
+
+    async def until(self, true):
+        while not true():
+            await self.event.wait()
+
+
 class Server:
     """A stand-in that answers each call by `play(call, writer)`, and keeps what came."""
 
     def __init__(self, play):
-        self.play, self.calls, self.came, self.closed = play, [], asyncio.Condition(), asyncio.Queue()
+        self.play, self.calls, self.came, self.closed = play, [], Bell(), asyncio.Queue()
 
     async def __aenter__(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -72,9 +87,8 @@
     async def serve(self, reader, writer):
         try:
             while call := await read_message(reader, lambda first: self.begun(first, writer)):
-                async with self.came:
-                    self.calls.append(call)
-                    self.came.notify_all()
+                self.calls.append(call)
+                self.came.ring()
                 playing = asyncio.ensure_future(self.play(call, writer))
                 gone = asyncio.ensure_future(reader.read(1)) if not playing.done() else None
                 await asyncio.wait({playing, gone}, return_when=asyncio.FIRST_COMPLETED)
@@ -96,8 +110,7 @@
         return [call for call in self.calls if call[0].startswith(start)]
 
     async def wait_for(self, start, count=1):
-        async with self.came:
-            await within(self.came.wait_for(lambda: len(self.named(start)) >= count))
+        await within(self.came.until(lambda: len(self.named(start)) >= count))
         return self.named(start)
 
 
@@ -106,24 +119,22 @@
 
     def __init__(self, entries):
         super().__init__(self.answer)
-        self.entries, self.index, self.changed = entries, 1, asyncio.Condition()
+        self.entries, self.index, self.changed = entries, 1, Bell()
 
     async def answer(self, call, writer):
         path = call[0].split()[1]
         since = int(path.partition("since=")[2].partition("&")[0] or 0)
         wait = int(path.partition("timeout_ms=")[2] or 0) / 1000
-        async with self.changed:
-            with suppress(TimeoutError):
-                await asyncio.wait_for(self.changed.wait_for(lambda: self.index > since), wait)
+        with suppress(TimeoutError):
+            await within(self.changed.until(lambda: self.index > since), wait)
         body = {"index": self.index, "snapshot": since == 0, "endpoints": self.entries}
         if since == self.index:
             body["endpoints"] = []
         writer.write(message("HTTP/1.1 200 OK", json.dumps(body).encode()))
 
     async def tell(self, entries):
-        async with self.changed:
-            self.entries, self.index = entries, self.index + 1
-            self.changed.notify_all()
+        self.entries, self.index = entries, self.index + 1
+        self.changed.ring()
 
 
 def entry(name, address, kind, status="Ready"):
