Force by a test that each event reaches the client before the next is written, through a stop too

The stand-in writes an event, whole or in three pieces, only once the client has the last one; in the middle SIGTERM comes, and the stream goes on to its last chunk. Seen to fail (20 s without an event) with a relay that holds an event back until a second one has come. No change of the program.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -101,6 +101,42 @@
     run(test())
 
 
+@pytest.mark.parametrize("pieces", [1, 3])
+def test_each_event_reaches_the_client_before_the_next_is_written_through_a_stop_too(tmp_path, pieces):
+    """The endpoint writes an event only once the client has the last: one held back would end the test."""
+    async def test():
+        had = asyncio.Queue()
+
+        async def one_by_one(call, writer):
+            if not call[0].startswith("POST /v1/chat"):
+                await write_it(call, writer)
+                return
+            writer.write(STREAM)
+            size = -(-len(EVENT) // pieces)
+            for _ in range(4):
+                for at in range(0, len(EVENT), size):
+                    writer.write(chunk(EVENT[at:at + size]))
+                await had.get()
+            writer.write(chunk(USAGE + DONE) + b"0\r\n\r\n")
+
+        async with desk(tmp_path, write=one_by_one) as program:
+            reader, writer = await program.connect()
+            writer.write(chat())
+            await within(reader.readuntil(b"\r\n\r\n"))
+            for number in range(4):
+                got = await within(reader.readuntil(EVENT))
+                assert got.count(b"data:") == 1
+                if number == 1:
+                    program.process.terminate()
+                    await program.line("stopping")
+                had.put_nowait(None)
+            rest = await within(reader.read())
+            assert DONE in rest and rest.endswith(b"0\r\n\r\n")
+            assert await within(program.process.wait()) == 0
+            writer.close()
+    run(test())
+
+
 def test_a_key_by_which_endpoints_discard_repeats_passes_with_each_attempt(tmp_path):
     """Guards a class whose repeats an endpoint discards: without its key each would run."""
     async def test():
