--- /dev/null
+++ b/tests/test_incident.py
@@ -0,0 +1,124 @@
+"""Issue 28 on the real program: what was given up never arrives, and no system call that fails costs a request."""
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+
+from standins import Server, chat, entry, platform, within
+from test_platform import read_it, write_it
+
+from hoplane.lab.partition import Partition
+
+
+@asynccontextmanager
+async def partitioned(tmp_path, read=read_it, write=write_it, **how):
+    """Give the program with a path to each endpoint that can be cut, both warmed up by one request."""
+    async with Server(read) as reader, Server(write) as writer:
+        async with Partition(reader.address) as to_reader, Partition(writer.address) as to_writer:
+            entries = [entry("r1", to_reader.address, "prefill"), entry("w1", to_writer.address, "decode")]
+            async with platform(tmp_path, entries, **how) as program:
+                program.servers, program.paths = (reader, writer), (to_reader, to_writer)
+                assert (await program.ask(chat("warm")))[0].startswith("HTTP/1.1 200")
+                await asyncio.sleep(0.1)
+                yield program
+
+
+def arrived(program, id):
+    """Give what arrived for a request, releases aside."""
+    calls = [call for server in program.servers for call in server.calls]
+    return [call[0] for call in calls if not call[0].startswith("DELETE")
+            and (call[1].get("x-correlation-id") == id or call[0].split()[1].endswith(f"/{id}"))]
+
+
+async def leave(program):
+    _, writer = await program.connect()
+    writer.write(chat("q"))
+    await asyncio.sleep(0.3)
+    writer.close()
+
+
+async def run_out_of_time(program):
+    assert (await program.ask(chat("q", left=600)))[0].split()[1] in ("502", "503")
+
+
+async def kill(program):
+    _, writer = await program.connect()
+    writer.write(chat("q"))
+    await asyncio.sleep(0.3)
+    program.process.kill()
+    await program.process.wait()
+
+
+def test_what_was_given_up_behind_a_partition_never_arrives(tmp_path):
+    """Both endpoints are cut off with connections open; the request is given up; then the paths heal."""
+    async def test(give_up):
+        async with partitioned(tmp_path) as program:
+            for path in program.paths:
+                path.cut()
+            await give_up(program)
+            await asyncio.sleep(0.5)
+            for path in program.paths:
+                path.heal()
+            await asyncio.sleep(0.5)
+            assert arrived(program, "q") == []
+    for give_up in (leave, run_out_of_time, kill):
+        asyncio.run(within(test(give_up), 60))
+
+
+def test_a_log_that_cannot_be_written_costs_no_request_and_no_drain(tmp_path):
+    """Standard error is on a full device from the start's line on; a list, an unreadable answer, a stop come."""
+    async def test():
+        bad = asyncio.Event()
+
+        async def read(call, writer):
+            if bad.is_set() and call[0].startswith("POST /v1/chat"):
+                writer.write(b"no head at all\r\n\r\n")
+                writer.close()
+                return
+            await read_it(call, writer)
+
+        first = ("from hoplane import conductor as it\nimport os\nsay = it.log.say\n"
+                 "def last(event, **facts):\n    say(event, **facts)\n"
+                 '    event == "started" and os.dup2(os.open("/dev/full", os.O_WRONLY), 2)\n'
+                 "it.log.say = last\n")
+        async with Server(read) as reader, Server(write_it) as writer, Server(read_it) as other:
+            entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
+            async with platform(tmp_path, entries, first=first) as program:
+                bad.set()
+                assert (await program.ask(chat("q")))[0].split()[1] in ("502", "503")
+                new = [{**entries[0], "status": "Terminating"}, entries[1],
+                       entry("r2", other.address, "prefill")]
+                await program.discovery.tell(new)
+                await asyncio.sleep(0.5)
+                before = len(reader.named("POST /v1/chat"))
+                assert (await program.ask(chat("r")))[0].split()[1] == "200"
+                assert len(reader.named("POST /v1/chat")) == before, "it drains"
+                assert await program.stop() == 0
+    asyncio.run(within(test(), 60))
+
+
+def injecting(*faults, seed=1):
+    plan = json.dumps({"seed": seed, "faults": faults})
+    return f"import json; from hoplane.lab import faults; faults.install(json.loads({plan!r}))"
+
+
+def test_accept_that_fails_for_a_moment_delays_nobody_and_loses_nobody(tmp_path):
+    """Clients that come while it fails have an answer within their time, also as a stop comes meanwhile."""
+    async def test(code):
+        async with Server(read_it) as reader, Server(write_it) as writer:
+            entries = [entry("r1", reader.address, "prefill"), entry("w1", writer.address, "decode")]
+            failing = injecting({"call": "accept", "errno": code, "share": 0.9})
+            async with platform(tmp_path, entries, first=failing) as program:
+                loop = asyncio.get_running_loop()
+                for stop in (False, True):
+                    asked = [asyncio.create_task(program.ask(chat(f"{stop}{n}"))) for n in range(5)]
+                    if stop:
+                        await asyncio.sleep(0.05)
+                        program.process.terminate()
+                    begun = loop.time()
+                    answers = await asyncio.gather(*asked)
+                    assert all(each and each[0].split()[1] in ("200", "503") for each in answers), answers
+                    assert stop or loop.time() - begun < 0.9, "asyncio's own pause is a second"
+                assert await within(program.process.wait()) == 0
+    for code in ("ENFILE", "EMFILE", "ENOBUFS", "ENOMEM", "ECONNABORTED", "EPROTO", "EPERM"):
+        asyncio.run(within(test(code), 60))
