Recall what a given-up send has not delivered, and let no failing call cost an effect

The system goes on delivering what it holds after a close and after the process's end, so a request given up while its path was silent arrived once the path healed, up to a second after its client had left or been refused; a place asked for so arrived behind its release. Now connections to endpoints are closed by a reset (SO_LINGER 0), a place's request is reset as its read ends, and the gate is asked again with the body's last part.

The class, a local step taken for its remote or whole effect, also held for: effects (one that raised, such as a log line on a full device, ended those behind it), accept (asyncio pauses a listener for a second after ENFILE, EMFILE, ENOBUFS, ENOMEM, and puts it back after its close), and stops (what was read later than 0.5 s after SIGTERM was taken although SIGKILL could cut it). core/permits.py now decides what may be sent, repeated, started or closed; core/invariants.py checks answers, effects and runs beside it, counted in DUMP (violations) and logged.

--- a/hoplane/core/figures.py
+++ b/hoplane/core/figures.py
@@ -49,4 +49,5 @@
         "cluster_unhealthy": unhealthy,
         "conf_loaded": figures.conf_loaded,
         "conf_invalid": figures.conf_invalid,
+        "violations": state.invariants.total,
     }
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -8,9 +8,12 @@
 from zlib import crc32
 
 from hoplane.core import events as ev
+from hoplane.core import permits
 from hoplane.core.border import to_ns, to_span
 from hoplane.core.figures import Figures
+from hoplane.core.invariants import Invariants, Violation
 from hoplane.core.ledger import Ledger
+from hoplane.core.permits import Denial
 from hoplane.decision import interface as api
 from hoplane.decision.interface import Status
 from hoplane.decision.rules import Router
@@ -86,12 +89,28 @@
     numbers: dict[str, int] = field(default_factory=dict)  # the module's server numbers, by name
     fleet: dict[int, ev.Endpoint] = field(default_factory=dict)
     figures: Figures = field(default_factory=Figures)
+    invariants: Invariants = field(default_factory=Invariants)
 
     def takes(self, endpoint: ev.Endpoint) -> bool:
         """Tell whether an endpoint is listed as one that may have new work."""
         listed = self.fleet.get(self.numbers.get(endpoint.name))
         return listed is not None and listed.state is api.State.LIVE
 
+    def may_send(
+        self, effect: ev.Forward | ev.AskHold, now: timedelta, client_gone: bool, deadline: timedelta | None
+    ) -> Denial | None:
+        """Tell whether an attempt's bytes, or a place's request, may go now; see `core/permits.py`."""
+        request, attempt = self.requests.get(effect.id), None
+        if request is not None and effect.attempt < len(request.attempts):
+            attempt = request.attempts[effect.attempt]
+        forward = effect if isinstance(effect, ev.Forward) else None
+        given_up = attempt is not None and attempt.abandoned is not None
+        return permits.may_send(permits.SendFacts(
+            now, client_gone, request is None or request.closed or request.began or given_up,
+            self.takes(effect.endpoint), deadline, forward and forward.until,
+            None if forward or attempt is None else not attempt.over,
+        ))
+
     def began(self, id: str) -> bool:
         """Tell whether a request's answer has begun, with which all that was held for it is let go of."""
         request = self.requests.get(id)
@@ -115,14 +134,18 @@
 
 def reduce(state: Conductor, now: timedelta, event: ev.Event) -> list[ev.Effect]:
     """Take an event in and give the effects that it calls for, in order."""
-    effects, letting = [], set()
+    return list(steps(state, now, event))
+
+
+def steps(state: Conductor, now: timedelta, event: ev.Event) -> Iterator[ev.Effect]:
+    """Take an event in and give its effects one by one, so that a fault costs none of those before it."""
+    releasing = set()
     for each in HANDLERS[type(event)](state, now, event):
         # A release may be asked for more than once, at an attempt's end and at the request's: one is enough.
-        if type(each) is not ev.LetGo or each.id not in letting:
-            effects.append(each)
+        if type(each) is not ev.LetGo or each.id not in releasing:
+            yield each
         if type(each) is ev.LetGo:
-            letting.add(each.id)
-    return effects
+            releasing.add(each.id)
 
 
 def decide(state: Conductor, now: timedelta, event: api.Event) -> Iterator[ev.Effect]:
@@ -210,6 +233,8 @@
     if status in MAY_HAVE_RUN:
         request.cut = True
     if not attempt.reads and status in MAY_HAVE_RUN:
+        if request.may_have_run and request.has(api.Effect.UNSAFE):
+            state.invariants.note(Violation.RUN_TWICE)
         request.may_have_run = True
         if request.until is None and request.has(api.Effect.KEYED):
             request.until = attempt.sent + to_span(request.cls.window)
@@ -346,7 +371,11 @@
     index, cap = len(request.attempts), request.cap
     role = next((k.role for k in state.settings.kinds if endpoint and k.name == endpoint.kind), None)
     request.attempts.append(Attempt(action.server, role is api.Role.READ, now))
-    if request.closed or request.began or now >= request.deadline or (cap and index >= cap):
+    denial = permits.may_repeat(permits.RepeatFacts(
+        role is api.Role.READ or request.repeatable or not request.has(api.Effect.UNSAFE),
+        request.may_have_run, index, cap or None,
+    ))
+    if denial is not None or request.closed or request.began or now >= request.deadline:
         status = Status.MOOT
     elif endpoint is None:
         status = Status.CONNECT_FAILED
--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -12,9 +12,9 @@
 import orjson
 from aiohttp import web
 
-from hoplane import __version__
+from hoplane import __version__, log
 from hoplane.config import Config
-from hoplane.core.events import Asked, Forward, Left, Listed, Reloaded
+from hoplane.core.events import Asked, Forward, Listed, Reloaded
 from hoplane.decision.interface import ClassSettings, Effect, Role, Settings, State, Status
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
@@ -272,12 +272,8 @@
             return problem(400, str(error), close=True)
         if len(runtime.exchanges) >= self.config.max_open:
             return problem(503, "too much at once", self.later, close=True)
-        exchange = runtime.exchanges[asked.id] = Exchange(request, asked, body)
-        try:
-            runtime.feed(asked)
-            return await exchange.sink.done
-        except asyncio.CancelledError:
-            runtime.feed(Left(asked.id))
-            raise
-        finally:
-            del runtime.exchanges[asked.id]
+        if denial := self.server.may_start():
+            log.seldom("request_denied", request=asked.id, reason=denial.value)
+            return problem(503, "the server is stopping", self.later, close=True)
+        exchange = Exchange(request, asked, body)
+        return await runtime.serve(exchange, exchange.sink.done)
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -14,7 +14,7 @@
 
 from hoplane import log
 from hoplane.config import Config, ConfigError, text
-from hoplane.core.events import Asked, Closing, Endpoint, Forward, Left, Listed, Reloaded, Turned
+from hoplane.core.events import Asked, Closing, Endpoint, Forward, Listed, Reloaded, Turned
 from hoplane.decision.interface import Settings, State, Status
 from hoplane.net.runtime import Runtime
 from hoplane.net.server import MARGIN, Relay, Server, StreamSink, advice, problem, target
@@ -248,19 +248,15 @@
                 return self.turned(asked, problem(400, "the body must be a JSON object", close=True))
         except orjson.JSONDecodeError:
             return self.turned(asked, problem(400, "the body is not JSON", close=True))
+        if denial := self.server.may_start():
+            log.seldom("request_denied", request=asked.id, reason=denial.value)
+            return self.turned(asked, self.busy())
         runtime = self.runtime
         if asked.id in runtime.exchanges:
             return self.turned(asked, problem(409, "this id is in use"))
         if len(runtime.exchanges) >= self.config.max_open:
             return self.turned(asked, self.busy())
-        exchange = runtime.exchanges[asked.id] = Exchange(request, asked, body)
+        exchange = Exchange(request, asked, body)
         if self.server.stopping or self.server.leaving is not None:
             exchange.response.force_close()
-        try:
-            runtime.feed(asked)
-            return await exchange.done
-        except asyncio.CancelledError:
-            runtime.feed(Left(asked.id))
-            raise
-        finally:
-            del runtime.exchanges[asked.id]
+        return await runtime.serve(exchange, exchange.done)
--- a/hoplane/lab/partition.py
+++ b/hoplane/lab/partition.py
@@ -108,7 +108,7 @@
                 reset(end) if was_open_with_error(end) else end.close()
 
     async def copy(self, source: socket.socket, sink: socket.socket) -> None:
-        """Pass bytes one way up to the source's end; what waited on a connection reset meanwhile is dropped."""
+        """Pass bytes one way up to the source's end; what waits on a connection that was reset is dropped."""
         loop = asyncio.get_running_loop()
         while True:
             await readable(source)
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import suppress
 from datetime import timedelta
@@ -19,6 +20,7 @@
 
 READ_AHEAD = 16 * 1024  # bytes taken from an endpoint before a slow client has taken them
 LAST_BYTE = timedelta(milliseconds=5)  # a round trip to another data centre takes half of that
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # a struct linger: on, for 0 s
 IDLE_SHARE = 0.5  # of the endpoints' idle time: what is written to a connection later may end as a reset
 
 
@@ -27,18 +29,33 @@
 
 
 class Sending(asyncio.Event):
-    """Set once a call's first bytes may have gone; `may` tells, just before they go, whether they may."""
+    """Decides, as each part of a call is handed to the system, whether it may go; set as the last part goes.
+
+    `may` is asked before every part, `spend` once, before the first. `told` gives the headers that tell of
+    the moment in which the head goes. `denied` is true where a call was held back."""
 
     def __init__(
-        self, may: Callable[[], bool] = lambda: True, told: Callable[[], Mapping[str, str]] = dict
+        self,
+        may: Callable[[], bool] = lambda: True,
+        told: Callable[[], Mapping[str, str]] = dict,
+        spend: Callable[[], bool] = lambda: True,
     ) -> None:
         super().__init__()
-        self.may, self.told = may, told  # `told` gives the headers that tell of this moment
+        self.may, self.told, self.spend = may, told, spend
+        self.denied = self.spent = False
+        self.has_body = False  # a head without a body is the whole call
+
+    def check(self) -> None:
+        """End the call here, with nothing of this part written, where it may not go."""
+        allowed = not self.denied and self.may() and (self.spent or self.spend())
+        self.spent = True
+        if not allowed:
+            self.denied = True
+            raise Drained("held back: its endpoint drains, its client has left, its time or budget is over")
 
     def go(self) -> None:
-        """Note that bytes go; where they may not any more, the call ends here with none of them written."""
-        if not self.may():
-            raise Drained("held back: its endpoint drains, its client has left, its time or budget is over")
+        """Let the last bytes go, or end the call here."""
+        self.check()
         self.set()
 
 
@@ -94,11 +111,18 @@
         return made
 
     def made(self, info: tuple) -> socket.socket:
-        """Make a socket."""
+        """Make a socket whose close recalls what has not arrived.
+
+        By default the system goes on delivering what it holds after a close, and after the process's end: a
+        request that was given up while its path was silent would arrive once the path heals. With a linger
+        time of 0 a close is a reset, which discards it. Closed connections carry nothing else: an answer is
+        read to its end first."""
         made = socket.socket(*info[:3])
         self.tally["connections"] += 1
         with suppress(OSError):
             made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        with suppress(OSError):
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         return made
 
     @staticmethod
@@ -112,24 +136,31 @@
         sent.go()
         yield body[-1:]
 
-    @classmethod
-    async def head(cls, session: object, context: Sending | None, params: object) -> None:
+    @staticmethod
+    async def head(session: object, context: Sending | None, params: object) -> None:
         """Let a call's head go, with what it tells of the moment in which it does."""
-        await cls.sent(session, context, params)
-        if context is not None:
-            params.headers.update(context.told())
+        if context is None:
+            return
+        context.check()
+        if not context.has_body:
+            context.set()
+        params.headers.update(context.told())
 
     @staticmethod
     async def sent(session: object, context: Sending | None, params: object) -> None:
-        """Note that bytes of a call are on their way; what may not go any more ends here, with none written.
+        """Let a part of a call's body go, the head with the first. What may not go ends here, unwritten.
 
-        Guards against the time between a decision and its first byte: a connection that came up late, a place
-        asked for once a read is sent, a loop that is behind."""
+        aiohttp writes a body in a task of its own, so that a client may leave or a drain be told after the
+        head was checked; nothing of either has been written by then."""
         if context is not None and not context.is_set():
             context.go()
 
     def request(self, method: str, address: str, path: str, sent: Sending | None = None, **more):
-        """Send a call; `sent` is set once its first bytes may have gone, and asked before they go."""
+        """Send a call; `sent` decides as its bytes go. A POST has an effect, so it needs one."""
+        if sent is not None:
+            sent.has_body = more.get("data") is not None
+        elif method == "POST":
+            raise ValueError(f"POST {path}: needs somebody to decide whether it may go")
         # Guards against yarl writing a path or query anew: it passes on as it came.
         url = URL(f"http://{address}{path}", encoded=True)
         return self.session.request(
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -17,8 +17,10 @@
 from hoplane.core import release as releasing
 from hoplane.core.border import to_ns
 from hoplane.core.figures import dump
+from hoplane.core.invariants import Invariants, Violation
 from hoplane.core.ledger import Ledger
-from hoplane.core.reducer import Conductor, reduce
+from hoplane.core.permits import Denial
+from hoplane.core.reducer import Conductor, steps
 from hoplane.decision.interface import KEPT, Status
 from hoplane.decision.rules import Router
 from hoplane.net.aio import Spoilt, Stale
@@ -34,6 +36,7 @@
 HOLD_WAIT = timedelta(seconds=1)
 SHORT_WAIT = timedelta(seconds=1)  # for the body of an answer that is no stream
 QUIET = timedelta(seconds=4.8)  # without an event: a client must not be left waiting for 5 s
+OVERDUE = timedelta(milliseconds=250)  # after a request's time: it is answered then whatever went wrong
 
 
 COUNTED: dict[type, Callable[..., str]] = {
@@ -100,14 +103,84 @@
         self.busy = True
         try:
             while self.queue:
-                event = self.queue.popleft()
-                self.count(event)
-                for effect in reduce(self.state, self.clock.now(), event):
-                    self.count(effect)
-                    self.effects[type(effect)](effect)
+                self.take(self.queue.popleft())
         finally:
             self.busy = False
 
+    def take(self, event: ev.Event) -> None:
+        """Let the reducer take an event, and perform its effects.
+
+        A fault of ours, in the reducer or in an effect, costs no other effect and no other event: it is
+        counted and logged, and a request that it concerns is answered at the latest as its time is over."""
+        effects = []
+        try:
+            self.count(event)
+            effects.extend(steps(self.state, self.clock.now(), event))
+        except Exception as error:
+            self.broke(Violation.EVENT_FAILED, event, error)
+        for effect in effects:
+            try:
+                self.count(effect)
+                self.effects[type(effect)](effect)
+            except Exception as error:
+                self.broke(Violation.EFFECT_FAILED, effect, error)
+                self.unperformed(effect)
+
+    def broke(self, violation: Violation, what: ev.Event | ev.Effect, error: Exception) -> None:
+        """Count and log a fault of ours."""
+        self.invariants.note(violation)
+        kind, id = type(what).__name__, getattr(what, "id", None)
+        log.seldom("violation", kind=violation.value, of=kind, request=id, error=repr(error))
+
+    def unperformed(self, effect: ev.Effect) -> None:
+        """Give the outcome of an effect that failed as it was performed, for the module to go on with."""
+        if isinstance(effect, ev.Forward) and (effect.id, effect.attempt) not in self.attempts:
+            self.sent.pop((effect.id, effect.attempt), None)
+            self.feed(ev.Ended(effect.id, effect.attempt, Status.CONNECT_FAILED, KEPT, written=False))
+        elif isinstance(effect, ev.AskHold):
+            self.feed(ev.HoldAnswered(effect.id, effect.attempt, False))
+
+    @property
+    def invariants(self) -> Invariants:
+        """Give the run-time checks of this conductor."""
+        return self.state.invariants
+
+    async def serve(self, exchange: Exchange, done: asyncio.Future):
+        """Take a request in, wait for its final answer and give it; a client that goes ends it."""
+        asked = exchange.asked
+        deadline = self.clock.now() + asked.patience
+        self.exchanges[asked.id] = exchange
+        self.invariants.taken(asked.id, deadline)
+        overdue = self.loop.call_at(self.clock.loop_time(deadline + OVERDUE), self.answer_overdue, exchange)
+        try:
+            self.feed(asked)
+            response = await done
+            self.noted(self.invariants.answered(asked.id, self.clock.now()), asked.id)
+            return response
+        except asyncio.CancelledError:
+            self.invariants.left(asked.id)
+            self.feed(ev.Left(asked.id))
+            raise
+        finally:
+            overdue.cancel()
+            del self.exchanges[asked.id]
+            self.noted(self.invariants.closed(asked.id), asked.id)
+
+    def answer_overdue(self, exchange: Exchange) -> None:
+        """Answer a request whose time is over and that nothing has answered: some event was lost."""
+        id = exchange.asked.id
+        request = self.state.requests.get(id)
+        if request is not None and request.began:
+            return
+        self.noted(self.invariants.note(Violation.ANSWERED_LATE), id)
+        exchange.fail(False)
+        self.feed(ev.Left(id))
+
+    def noted(self, violation: Violation | None, id: str) -> None:
+        """Log a violation that was counted."""
+        if violation is not None:
+            log.seldom("violation", kind=violation.value, request=id)
+
     def figures(self) -> dict[str, object]:
         """Give the figures that the core keeps, for the operator."""
         return dump(self.state, to_ns(self.clock.now()))
@@ -167,43 +240,37 @@
         task.add_done_callback(lambda task: self.over(effect, task))
 
     def sending(self, effect: ev.Forward | ev.AskHold, spends: bool = False) -> Sending:
-        """Give what lets work go to an endpoint until a drain is told or its time is over.
+        """Give what is asked, as bytes of a call go, whether they still may (`core/permits.py`).
 
-        `spends`: it stands for the request's going, which spends of what the fleet shares.
-
-        Guards against work for a client whose end has come and waits to be seen: by then an attempt may have
-        waited for a connection, or the loop may be behind. It is told of here as any other end."""
-        id, endpoint = effect.id, effect.endpoint
-        until = deadline = None
-        if isinstance(effect, ev.Forward):
-            until, deadline = effect.until, self.clock.now() + effect.patience
+        `spends`: it stands for the request's going, which spends of what the fleet shares. A client whose end
+        waits to be read is seen here: an attempt may have waited for a connection, or the loop be behind."""
+        deadline = self.clock.now() + effect.patience if isinstance(effect, ev.Forward) else None
 
         def told() -> Mapping[str, str]:
-            """Guards against a time from before a wait for the connection, which is more than is left."""
-            return {} if deadline is None else self.exchanges[id].told(deadline - self.clock.now())
+            """Give the headers that tell of the time left: less than when the attempt was decided on."""
+            return {} if deadline is None else self.exchanges[effect.id].told(deadline - self.clock.now())
 
         def may() -> bool:
-            exchange = self.exchanges.get(id)
-            if exchange is None or exchange.gone:
-                log.seldom("client_gone", request=id, endpoint=endpoint.name)
-                self.feed(ev.Left(id))
-                return False
-            if until is not None and self.clock.now() >= until:
-                log.seldom("repeat_too_late", request=id, endpoint=endpoint.name)
-                return False
-            if deadline is not None and self.clock.now() >= deadline:
-                log.seldom("attempt_too_late", request=id, endpoint=endpoint.name)
-                return False
-            if not self.state.takes(endpoint):
-                log.seldom("send_stopped", endpoint=endpoint.name)
-                return False
-            if spends and not self.spend(endpoint):
-                log.seldom("send_over_budget", endpoint=endpoint.name)
-                return False
-            self.last_sent[endpoint.name] = datetime.now(UTC)
+            exchange = self.exchanges.get(effect.id)
+            gone = exchange is None or exchange.gone
+            return self.allowed(effect, self.state.may_send(effect, self.clock.now(), gone, deadline))
+
+        def spend() -> bool:
+            if spends and not self.spend(effect.endpoint):
+                return self.allowed(effect, Denial.OVER_BUDGET)
+            self.last_sent[effect.endpoint.name] = datetime.now(UTC)
             return True
 
-        return Sending(may, told)
+        return Sending(may, told, spend)
+
+    def allowed(self, effect: ev.Forward | ev.AskHold, denial: Denial | None) -> bool:
+        """Log a denial, and end a request whose client has gone; tells whether there was none."""
+        if denial is None:
+            return True
+        log.seldom(denial.value, request=effect.id, endpoint=effect.endpoint.name)
+        if denial is Denial.CLIENT_GONE:
+            self.feed(ev.Left(effect.id))
+        return False
 
     def abandon(self, effect: ev.Abandon) -> None:
         if task := self.attempts.get((effect.id, effect.attempt)):
@@ -264,6 +331,8 @@
         except Stale:
             return over(Status.RESET if sent.is_set() else Status.CONNECT_FAILED, KEPT)
         except (aiohttp.ClientError, OSError, TimeoutError):
+            if sent.denied or told.denied:
+                return over(Status.CONNECT_FAILED, KEPT)
             # Guards against a machine that is cut off, which gives no sign: the next request on a connection
             # kept from before would wait in silence again, while a new one fails as soon as a connect may.
             self.pool.connector.drop_idle(effect.endpoint.address)
@@ -396,8 +465,9 @@
                     held = {200: True, 409: False}.get(call.result())
                 elif asked.is_set():
                     held = None
-                else:
-                    call.cancel()
+                # The read is over: what has not arrived must not, behind the release. So the call is reset.
+                call.cancel()
+                await asyncio.wait({call})
         finally:
             self.feed(ev.HoldAnswered(effect.id, effect.attempt, held))
 
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import re
-import socket
 from collections.abc import Awaitable, Callable
 from datetime import timedelta
 
@@ -12,10 +11,13 @@
 
 from hoplane import log
 from hoplane.config import BODY_MOST, Config, Limits
+from hoplane.core import permits
+from hoplane.core.permits import Denial, Phase
 from hoplane.net.aio import Door, listening
+from hoplane.net.listener import Listener
 
 BODY_WAIT = timedelta(seconds=2.6)  # for a body: a new client is owed an error or a close within 3 s
-LINGER = timedelta(seconds=0.5)  # after SIGTERM, as clients keep coming for 0.2 to 0.4 s
+LINGER = permits.REFUSE_AFTER  # after SIGTERM, as clients keep coming for 0.2 to 0.4 s
 KILL_MOST, KILL_MORE = timedelta(seconds=3), timedelta(seconds=0.7)  # SIGKILL: the longest deadline, and more
 MOVE, MOVED = 0.45, 0.92  # parts of that time between which streams are moved, where they can be
 MARGIN = timedelta(milliseconds=20)  # of a client's patience, for the answer's way and a busy loop
@@ -23,7 +25,6 @@
 LAST = timedelta(seconds=2)  # for the last bytes to leave
 LEAVE_IDLE = timedelta(seconds=0.3)  # then idle connections close in a drain: new ones go elsewhere by then
 SWEEP = timedelta(milliseconds=50)  # how often connections that became idle are closed while draining
-ACCEPT_MOST, BACKLOG = 16, 512  # connections accepted in a row, and those that may wait for it
 
 EVENT_MOST = 64 * 1024  # bytes of one event
 EVENTS = re.compile(rb"(?:(?:(?:data|event|id|retry)?:[^\n]*|\r?)\n)*")  # lines of events
@@ -148,8 +149,8 @@
             self.handle, problem, config.limits.clients, config.limits.turned_away, BODY_MOST
         )
         self.door.advises = config.settings.retry_after
-        self.listener: asyncio.Server | None = None
-        self.socket: socket.socket | None = None  # that it listens on
+        self.listener: Listener | None = None
+        self.ending = False  # SIGTERM came so long ago that SIGKILL could cut what is taken now
         self.shutting: asyncio.Task | None = None
 
     def resize(self, limits: Limits) -> None:
@@ -158,39 +159,27 @@
         self.bodies.resize(limits.bodies)
 
     async def start(self) -> None:
-        # Guards against a flood of connections that takes all descriptors at once: the loop accepts as many
-        # in a row as its backlog says, before any that we close is gone, and waits a second if it runs out.
-        # Guards against a second process beside the first at an upgrade, which cannot bind the address again:
-        # the platform holds the socket, and both take connections from it.
-        made = listening(*self.config.listen, inherited=self.config.inherited)
-        loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(self.door, sock=made, backlog=ACCEPT_MOST)
-        made.listen(BACKLOG)
-        self.socket = made
+        """Listen for clients. The platform may hold the socket and share it with another process."""
+        self.listener = Listener(listening(*self.config.listen, inherited=self.config.inherited), self.door)
+        self.listener.start()
 
     async def shut(self) -> None:
         """Listen no more. What waits at a socket of ours is taken first: its requests may have come.
 
-        Guards against connections that are accepted in the same pass of the loop, whose transports asyncio
-        does not make once its listener is closed, and against the reset of those that wait."""
-        made, self.socket = self.socket, None
-        if made is None:
-            return
-        loop, waiting = asyncio.get_running_loop(), []
-        loop.remove_reader(made)
-        await asyncio.sleep(0)
-        # Where the platform holds the socket, the process beside us takes what comes.
-        while self.config.inherited is None and len(waiting) < BACKLOG:
-            try:
-                waiting.append(made.accept()[0])
-            except ConnectionAbortedError:
-                continue
-            except OSError:
-                break
-        self.listener.close()
-        for each in waiting:
-            each.setblocking(False)
-            await loop.connect_accepted_socket(self.door, each)
+        Where the platform holds the socket, the process beside us takes what comes."""
+        if self.listener is not None:
+            await self.listener.close(take_waiting=self.config.inherited is None)
+
+    @property
+    def phase(self) -> Phase:
+        """Tell how far this process is in its life."""
+        if self.stopping:
+            return Phase.ENDING if self.ending else Phase.LINGERING
+        return Phase.SERVING if self.leaving is None else Phase.DRAINING
+
+    def may_start(self) -> Denial | None:
+        """Tell whether a request that has just been read may be taken."""
+        return permits.may_start(self.phase)
 
     @property
     def ready(self) -> bool:
@@ -259,6 +248,10 @@
         except TimeoutError:
             return problem(408, "the body did not arrive", close=True)
 
+    def end(self) -> None:
+        """Refuse what is read from now on: SIGKILL may come before it could be served, and would lose it."""
+        self.ending = True
+
     async def stop(self) -> None:
         """Take what still comes for a moment, then close what is idle and wait for the rest.
 
@@ -272,6 +265,7 @@
         longest = max(cls.deadline for cls in self.config.settings.classes) / 1e9
         kill = min(KILL_MOST.total_seconds(), longest) + KILL_MORE.total_seconds()
         moves, next_move = self.config.settings.resume, MOVE * kill
+        loop.call_later(LINGER.total_seconds(), self.end)
         # Where the platform holds the socket, the process beside us takes what comes: we may close at once.
         if self.config.inherited is None:
             await asyncio.sleep(LINGER.total_seconds())
--- a/hoplane/slog.py
+++ b/hoplane/slog.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
-import sys
-
 import orjson
 import structlog
 
+from hoplane import log
+
+
+class Lines:
+    """What structlog writes its lines to; see `log.Output`."""
+
+    def write(self, data: bytes) -> None:
+        log.output.write(data)
+
+    def flush(self) -> None:
+        log.output.flush()
+
 
 def rename(_: object, __: str, line: structlog.typing.EventDict) -> structlog.typing.EventDict:
     """Put the time and the event first, as the other lines have them."""
@@ -16,7 +26,7 @@
 def logger(**facts: object) -> structlog.typing.FilteringBoundLogger:
     """Give a logger whose lines all carry these facts."""
     return structlog.wrap_logger(
-        structlog.BytesLogger(sys.stderr.buffer),
+        structlog.BytesLogger(Lines()),
         processors=[
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="at"),
             structlog.processors.ExceptionRenderer(),
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -92,6 +92,8 @@
                 playing = asyncio.ensure_future(self.play(call, writer))
                 gone = asyncio.ensure_future(reader.read(1)) if not playing.done() else None
                 await asyncio.wait({playing, gone}, return_when=asyncio.FIRST_COMPLETED)
+                if gone is not None and gone.done():
+                    gone.exception()  # a reset ends it as well as an end does
                 if not playing.done():
                     playing.cancel()
                     self.closed.put_nowait(call)
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -239,7 +239,10 @@
                         with made:
                             made.setblocking(False)
                             if peer not in ours:
-                                came.append(await loop.sock_recv(made, 100))
+                                try:
+                                    came.append(await loop.sock_recv(made, 100))
+                                except ConnectionResetError:
+                                    came.append(b"")
 
                 taking = asyncio.create_task(take())
                 assert (await asked)[0].split()[1] == "503"
