--- a/hoplane/core/invariants.py
+++ b/hoplane/core/invariants.py
@@ -56,6 +56,11 @@
             return self.note(Violation.ANSWERED_TWICE)
         return self.note(Violation.ANSWERED_LATE) if now > deadline + LATE else None
 
+    def began(self, id: str) -> None:
+        """Note that an answer has begun: from here on it may take its time."""
+        if id in self.due:
+            self.due[id] = timedelta.max - LATE
+
     def left(self, id: str) -> None:
         """Note that a client has gone: nothing is owed to it."""
         self.due.pop(id, None)
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -191,6 +191,8 @@
             endpoint = self.state.fleet.get(request.attempts[what.attempt].server)
             if endpoint is not None:
                 self.heed(endpoint.name, what.status)
+        if type(what) is ev.Began:
+            self.invariants.began(what.id)
         if name := COUNTED.get(type(what)):
             self.pool.tally[name(what)] += 1
 
