Release what a read that has not arrived holds up, and retry what fails for a moment at a start

A read that was cut off may end well behind its release: the release is made again after 0.3 and 0.8 s once the request is over. A start that found no socket, event loop or readable file for a moment ended; a SIGHUP whose file could not be read for a moment was lost: both are tried again. A look at a client's connection that failed for want of memory counted as the client's end.

--- a/hoplane/conductor.py
+++ b/hoplane/conductor.py
@@ -8,6 +8,7 @@
 import logging
 import os
 import random
+import time
 from collections.abc import Callable
 from dataclasses import fields, replace
 from datetime import timedelta
@@ -16,9 +17,10 @@
 
 from hoplane import config as configuration
 from hoplane import log
-from hoplane.config import Config, ConfigError
+from hoplane.config import Config, ConfigError, Unreadable
 from hoplane.core.events import Reloaded
 from hoplane.core.pacing import Pacing
+from hoplane.core.transient import EXHAUSTED
 from hoplane.decision.interface import State
 from hoplane.fronts import platform
 from hoplane.fronts.operator import Operator
@@ -32,6 +34,8 @@
     from hoplane import xds
     from hoplane.fronts import kserve
 
+REREAD, REREAD_MOST = timedelta(milliseconds=50), timedelta(seconds=1)  # a file that could not be read
+START_TRIES = 40  # of reading the configuration, and of making the event loop, at a start, `REREAD` apart
 TIDY = timedelta(seconds=10)  # between collections of garbage, which take 5 to 8 ms
 
 
@@ -40,6 +44,8 @@
 
     def __init__(self, config: Config, again: Callable[[Config], Config]) -> None:
         self.config, self.again = config, again
+        self.unread = 0  # times in a row that the file could not be read
+        self.rereading: asyncio.TimerHandle | None = None
         self.pool = Pool(config)
         self.front, self.watch = self.beside() if config.files else self.on_platform()
         self.watching = asyncio.create_task(self.watch.watch())
@@ -126,11 +132,15 @@
         try:
             new = self.again(self.config)
             watch = self.watch.moved(new)
+        except Unreadable as error:
+            self.reload_later(error)
+            return
         except ConfigError as error:
             log.say("reload_failed", error=str(error))
             for runtime in self.front.runtimes:
                 runtime.feed(Reloaded(None))
             return
+        self.unread = 0
         self.watch, self.watching = watch, asyncio.create_task(watch.watch())
         self.front.server.resize(new.limits)
         self.pool.most = new.limits.upstreams
@@ -145,6 +155,15 @@
         self.config = replace(self.config, told=new.told, **taken)
         log.say("reloaded", watch=str(watch), at_next_start=wait)
 
+    def reload_later(self, error: Unreadable) -> None:
+        """Read the configuration once more a moment later: the SIGHUP is still owed a reload."""
+        self.unread += 1
+        log.seldom("reload_unread", error=str(error), tries=self.unread)
+        if self.rereading is not None:
+            self.rereading.cancel()
+        delay = min(REREAD * self.unread, REREAD_MOST)
+        self.rereading = asyncio.get_running_loop().call_later(delay.total_seconds(), self.reload)
+
     async def tidy(self) -> None:
         """Guard against closed connections that stay in memory, tied in cycles, till a full collection."""
         while True:
@@ -200,6 +219,29 @@
     await Conductor(config, again).serve()
 
 
+def load_patiently(file: Path | None) -> Config:
+    """Read the configuration, again where it cannot be read for a moment; raises a ConfigError."""
+    for _ in range(START_TRIES):
+        signals.noted.clear()  # the file that we read now is newer
+        try:
+            return configuration.load(os.environ, file)
+        except Unreadable:
+            time.sleep(REREAD.total_seconds())
+    return configuration.load(os.environ, file)
+
+
+def patient_loop() -> asyncio.AbstractEventLoop:
+    """Make an event loop, again where the system has no descriptors for it at the moment."""
+    for _ in range(START_TRIES):
+        try:
+            return asyncio.new_event_loop()
+        except OSError as error:
+            if error.errno not in EXHAUSTED:
+                raise
+            time.sleep(REREAD.total_seconds())
+    return asyncio.new_event_loop()
+
+
 def main(arguments: list[str]) -> int:
     """Read the configuration and serve."""
     logging.basicConfig(level=logging.WARNING, handlers=[log.Lines()])
@@ -207,9 +249,9 @@
     parser.add_argument("file", nargs="?", type=Path, help="serve KServe v2 as this file says")
     file = parser.parse_args(arguments).file
     try:
-        signals.noted.clear()  # the file that we read now is newer
-        config = configuration.load(os.environ, file)
-        asyncio.run(serve(config, lambda before: configuration.load(os.environ, file, before)))
+        config = load_patiently(file)
+        with asyncio.Runner(loop_factory=patient_loop) as runner:
+            runner.run(serve(config, lambda before: configuration.load(os.environ, file, before)))
     except ConfigError as error:
         log.say("bad_configuration", error=str(error))
         return 2
--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -13,6 +13,7 @@
 import orjson
 
 from hoplane.adapter import WireError, read_settings
+from hoplane.core.transient import UNREADABLE
 from hoplane.decision.interface import Settings
 
 if TYPE_CHECKING:  # a file of ours loads them, the platform's run does not: half of a start is loading
@@ -39,6 +40,16 @@
     """What is wrong, with the key in front."""
 
 
+class Unreadable(ConfigError):
+    """A file could not be read for a reason that passes with time."""
+
+
+def unread(name: str, error: Exception) -> ConfigError:
+    """Give the error for a file that could not be read or understood."""
+    transient = isinstance(error, OSError) and error.errno in UNREADABLE
+    return (Unreadable if transient else ConfigError)(f"{name}: {error}")
+
+
 @dataclass(slots=True, frozen=True)
 class Limits:
     """What the process may use."""
@@ -138,7 +149,7 @@
     try:
         raw = orjson.loads(Path(environ.get("EDGE_CONFIG", "")).read_bytes())
     except (OSError, orjson.JSONDecodeError) as error:
-        raise ConfigError(f"EDGE_CONFIG: {error}") from None
+        raise unread("EDGE_CONFIG", error) from None
     if not isinstance(raw, dict):
         raise ConfigError("EDGE_CONFIG: must be an object")
     if before is not None:
@@ -193,7 +204,7 @@
     try:
         raw = tomllib.loads(path.read_text())
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        raise ConfigError(f"{path.name}: {error}") from None
+        raise unread(path.name, error) from None
     files = group(raw, "xds", needed=True)
     told = group(raw, "settings", needed=True)
     limited(told, "settings.")
--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -195,6 +195,7 @@
     endpoints: tuple[Endpoint, ...]
     wait: timedelta = ZERO
     left: timedelta | None = None  # since when something may be held, on the reducer's clock
+    again: bool = False  # a read was cut off and may end well later, so that one release is not enough
 
 
 @dataclass(slots=True, frozen=True)
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -256,6 +256,9 @@
     request.holds -= 1
     request.cut = request.cut or event.held is None
     attempt = request.attempts[event.attempt]
+    if event.held is None and not attempt.over and not request.closed:
+        # The endpoint knows of no read: ours has not arrived, and what has not arrived stops no clock.
+        yield let_go(state, request)
     if event.held is not False and attempt.over and not request.began:
         yield from note_left(state, now, request)
     if event.held is not None and not attempt.over:
@@ -502,7 +505,8 @@
     last = [attempt.server for attempt in request.attempts[-1:] if attempt.abandoned]
     answered = [attempt.server for attempt in reversed(request.attempts) if attempt.answered]
     endpoints = tuple(state.fleet[n] for n in dict.fromkeys([*answered, *last]) if n in state.fleet)
-    return ev.LetGo(request.asked.id, endpoints, SETTLE if request.cut else ev.ZERO, left)
+    cut_off = any(each.reads and each.abandoned and not each.answered for each in request.attempts)
+    return ev.LetGo(request.asked.id, endpoints, SETTLE if request.cut else ev.ZERO, left, cut_off)
 
 
 def sweep_up(state: Conductor, now: timedelta, id: str) -> Iterator[ev.Effect]:
--- a/hoplane/core/release.py
+++ b/hoplane/core/release.py
@@ -15,6 +15,8 @@
 TRY = timedelta(milliseconds=70)  # without an answer, then another endpoint is asked as well
 AGAIN = timedelta(milliseconds=5)  # after one that failed at once, doubled in a row up to the time of a try
 PATIENCE = timedelta(seconds=0.5)  # with one that took the call and is silent; its connection is closed then
+# After a release for a read that was cut off: such a read may end well, and leave its state, a moment later.
+REPEATS = (timedelta(seconds=0.3), timedelta(seconds=0.5))
 MOST = timedelta(seconds=5)  # what a dead conductor left is freed some seconds later; so much for ours
 
 
--- a/hoplane/lab/__main__.py
+++ b/hoplane/lab/__main__.py
@@ -5,14 +5,18 @@
 import asyncio
 import os
 from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict
 from pathlib import Path
 
 import click
 import orjson
 
-from . import bench, drill, schedule, share_bench
+from hoplane.net import signals
+
+from . import bench, drill, faults, schedule, share_bench, soak
 from .engine import Engine
 from .link import Link
+from .soak_oracle import Problem
 
 JOBS = max(1, (os.cpu_count() or 2) // 3)  # drills at once: each runs some five processes
 
@@ -89,6 +93,53 @@
     raise SystemExit(1 if wrong else 0)
 
 
+def soaked(seed: int, conductors: int | None) -> soak.Outcome:
+    """Play one soak; one that does not end counts as a broken rule."""
+    try:
+        return soak.play(seed, conductors)
+    except TimeoutError:
+        return soak.Outcome(seed, conductors or 0, problems=[Problem("hang", "the soak did not end")])
+
+
+@lab.command("soak")
+@click.option("--seeds", default=4, show_default=True, help="How many soaks to play.")
+@click.option("--first", default=1, show_default=True, help="The first seed.")
+@click.option("--conductors", type=click.IntRange(2, 200), help="Processes of each; drawn, 10 to 20, without.")
+@click.option("--jobs", default=1, show_default=True, help="Soaks at once; each keeps some four cores busy.")
+@click.option("--out", type=click.Path(path_type=Path), help="Keep a JSON line for each soak in this file.")
+def soaks(seeds: int, first: int, conductors: int | None, jobs: int, out: Path | None) -> None:
+    """Play drawn faults against real conductors, and judge what clients and endpoints saw by the terms."""
+    broken = void = 0
+    with ProcessPoolExecutor(jobs) as pool:
+        for found in pool.map(soaked, range(first, first + seeds), [conductors] * seeds):
+            told = asdict(found)
+            broken, void = broken + bool(found.problems), void + found.void
+            if out:
+                with out.open("ab") as file:
+                    file.write(orjson.dumps(told, option=orjson.OPT_APPEND_NEWLINE))
+            click.echo(f"seed {found.seed}: {found.asks} asked, {found.served} served, "
+                       f"{len(found.problems)} broken rules{', void' if found.void else ''}")
+            for problem in found.problems[:5]:
+                click.echo(f"  {problem}")
+    click.echo(f"{seeds} soaks, {broken} with broken rules, {void} void")
+    raise SystemExit(1 if broken else 0)
+
+
+@lab.command("faulty", context_settings={"ignore_unknown_options": True})
+@click.argument("plan", type=click.Path(path_type=Path))
+@click.argument("arguments", nargs=-1, type=click.UNPROCESSED)
+def faulty(plan: Path, arguments: tuple[str, ...]) -> None:
+    """Run the program in this process with system calls that fail as PLAN says (docs/lab.md)."""
+    try:
+        faults.install(faults.load_plan(plan))
+    except faults.PlanError as error:
+        raise click.UsageError(str(error)) from None
+    from hoplane.conductor import main
+
+    signals.note()
+    raise SystemExit(main(list(arguments)))
+
+
 @lab.command("bench-lease")
 @click.option("--failovers", default=20, show_default=True, help="Holders to kill and to end in order.")
 @click.option("--conductors", default=200, show_default=True, help="Holders that renew at the engine.")
--- a/hoplane/lab/faults.py
+++ b/hoplane/lab/faults.py
@@ -40,7 +40,8 @@
     `share`: the part of calls that it meets, 0 to 1. `begin`, `end`: seconds since the start. `errno`: what
     the call fails with. `hold_s`: how long the call takes in addition. `short`: the most bytes that a send or
     recv takes. `step_s`: how far the wall clock is off while the fault lasts (`clock` alone). `port`: only
-    connections to this port. `descriptor`: only writes to this descriptor."""
+    connections to this port. `descriptor`: only writes to this descriptor. `path`: only files whose path has
+    this in it."""
 
     call: str
     errno: str | None = None
@@ -52,6 +53,7 @@
     step_s: float = 0.0
     port: int | None = None
     descriptor: int | None = None
+    path: str | None = None
 
     @property
     def code(self) -> int | None:
@@ -89,6 +91,8 @@
     for name in ("share", "begin", "end", "hold_s", "short", "port", "descriptor"):
         if told.get(name) is not None:
             check_number(f"{key}.{name}", told[name])
+    if not isinstance(told.get("path", ""), str):
+        raise PlanError(f"{key}.path: must be text")
     if "step_s" in told:
         check_number(f"{key}.step_s", told["step_s"], float("-inf"))
     return Fault(**told)
@@ -134,12 +138,16 @@
         age = time.monotonic() - self.begun
         return [each for each in self.by_call[call] if each.begin <= age < each.end]
 
-    def meet(self, call: str, port: int | None = None, descriptor: int | None = None) -> int:
+    def meet(
+        self, call: str, port: int | None = None, descriptor: int | None = None, path: object = ""
+    ) -> int:
         """Raise or wait as the plan says; gives the most bytes that the call may take, 0 for all."""
         short = 0
         for fault in self.active(call):
             if fault.port not in (None, port) or fault.descriptor not in (None, descriptor):
                 continue
+            if fault.path is not None and fault.path not in str(path):
+                continue
             if self.random.random() >= fault.share:
                 continue
             self.counts[f"{call} {fault.errno or 'held'}"] += 1
@@ -219,6 +227,6 @@
     os.fsync = patched(os.fsync, lambda *_: injector.meet("fsync"))
     os.rename = patched(os.rename, lambda *_: injector.meet("rename"))
     os.replace = patched(os.replace, lambda *_: injector.meet("rename"))
-    io.open = builtins.open = patched(io.open, lambda *_: injector.meet("open"))
-    os.open = patched(os.open, lambda *_: injector.meet("open"))
+    io.open = builtins.open = patched(io.open, lambda path, *_: injector.meet("open", path=path))
+    os.open = patched(os.open, lambda path, *_: injector.meet("open", path=path))
     return injector
--- a/hoplane/lab/soak_plan.py
+++ b/hoplane/lab/soak_plan.py
@@ -27,7 +27,7 @@
     {"call": "poll", "share": 0.02, "hold_s": HOLD},
     {"call": "write", "errno": "ENOSPC", "share": 0.7},
     {"call": "write", "errno": "EIO", "share": 0.7},
-    {"call": "open", "errno": "EIO", "share": 0.5},
+    {"call": "open", "errno": "EIO", "share": 0.5, "path": ".json"},
     {"call": "clock", "step_s": 3600.0},
     {"call": "clock", "step_s": -3600.0},
     {"call": "clock", "step_s": 5.0},
--- a/hoplane/lab/soak_world.py
+++ b/hoplane/lab/soak_world.py
@@ -392,7 +392,10 @@
             self.drop()
 
     async def receive(self, ask: Ask):
-        got = await read_message(self.reader)
+        def begun() -> None:
+            ask.began = True
+
+        got = await read_message(self.reader, begun)
         if got is not None:
             ask.status, ask.body, ask.whole = int(got[0].split()[1]), got[2], got[3]
         return got
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -18,6 +18,7 @@
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from hoplane import log
+from hoplane.core.transient import EXHAUSTED
 
 HEAD_MOST = 64 * 1024  # bytes of an answer's head, with all interim ones ahead of it
 HEAD_WAIT = timedelta(seconds=0.3)  # from a head's first byte to its end; it is written in one piece
@@ -406,8 +407,9 @@
         return probe.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
         return None
-    except OSError:
-        return b""
+    except OSError as error:
+        # A look that failed for want of memory tells nothing; any other error is the connection's end.
+        return None if error.errno in EXHAUSTED else b""
     finally:
         probe.detach()
 
--- a/hoplane/net/listener.py
+++ b/hoplane/net/listener.py
@@ -7,19 +7,18 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import socket
 from collections.abc import Callable
 from datetime import timedelta
 
 from hoplane import log
+from hoplane.core.transient import EXHAUSTED
 
 ACCEPT_MOST = 16  # connections accepted in one pass, so that a flood does not take all descriptors at once
 BACKLOG = 512  # connections that may wait to be accepted
 # Where the system is out of something, another try follows after this, doubled up to the most.
 RETRY, RETRY_MOST = timedelta(milliseconds=2), timedelta(milliseconds=20)
 WAITING_MOST = timedelta(milliseconds=300)  # that a close goes on to accept what waits, where accept fails
-EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class Listener:
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -33,7 +33,7 @@
 TAIL = 2048  # bytes kept of a stream's end, where usage and the load report stand
 UNHEARD = timedelta(milliseconds=500)  # an attempt given up after this casts doubt on kept connections
 PROBE_WAIT = timedelta(milliseconds=300)  # it is answered beside the queue, or the machine is gone
-HOLD_WAIT = timedelta(seconds=1)
+HOLD_WAIT = timedelta(seconds=0.45)  # an endpoint that knows of no read says so after 0.3 s
 SHORT_WAIT = timedelta(seconds=1)  # for the body of an answer that is no stream
 QUIET = timedelta(seconds=4.8)  # without an event: a client must not be left waiting for 5 s
 OVERDUE = timedelta(milliseconds=250)  # after a request's time: it is answered then whatever went wrong
@@ -504,6 +504,15 @@
             log.seldom("release_late", request=effect.id, held_ms=held // 1_000_000, asked=asked)
 
     async def release(self, effect: ev.LetGo) -> None:
+        """Release what is held, and again for a read that was cut off, while nothing else is out for it."""
+        await self.release_once(effect)
+        for pause in releasing.REPEATS if effect.again else ():
+            await asyncio.sleep(pause.total_seconds())
+            if effect.id in self.state.requests:  # it goes on elsewhere: its end releases all
+                return
+            await self.release_once(replace(effect, left=None))
+
+    async def release_once(self, effect: ev.LetGo) -> None:
         """Call endpoint after endpoint until one has taken the release, or an answer has begun.
 
         Guards against a release that ends unheard while something is held: what fails at once is no reason to
--- a/hoplane/net/server.py
+++ b/hoplane/net/server.py
@@ -13,6 +13,7 @@
 from hoplane.config import BODY_MOST, Config, Limits
 from hoplane.core import permits
 from hoplane.core.permits import Denial, Phase
+from hoplane.core.transient import EXHAUSTED
 from hoplane.net.aio import Door, listening
 from hoplane.net.listener import Listener
 
@@ -20,6 +21,7 @@
 LINGER = permits.REFUSE_AFTER  # after SIGTERM, as clients keep coming for 0.2 to 0.4 s
 KILL_MOST, KILL_MORE = timedelta(seconds=3), timedelta(seconds=0.7)  # SIGKILL: the longest deadline, and more
 MOVE, MOVED = 0.45, 0.92  # parts of that time between which streams are moved, where they can be
+START_TRIES, START_RETRY = 100, timedelta(milliseconds=20)  # of a listening socket, where none is left
 MARGIN = timedelta(milliseconds=20)  # of a client's patience, for the answer's way and a busy loop
 RETURN = timedelta(milliseconds=200)  # the least that a refused client is asked to stay away
 LAST = timedelta(seconds=2)  # for the last bytes to leave
@@ -160,7 +162,15 @@
 
     async def start(self) -> None:
         """Listen for clients. The platform may hold the socket and share it with another process."""
-        self.listener = Listener(listening(*self.config.listen, inherited=self.config.inherited), self.door)
+        for left in reversed(range(START_TRIES)):
+            try:
+                made = listening(*self.config.listen, inherited=self.config.inherited)
+                break
+            except OSError as error:
+                if error.errno not in EXHAUSTED or left == 0:
+                    raise
+                await asyncio.sleep(START_RETRY.total_seconds())
+        self.listener = Listener(made, self.door)
         self.listener.start()
 
     async def shut(self) -> None:
