--- a/hoplane/lab/__main__.py
+++ b/hoplane/lab/__main__.py
@@ -104,7 +104,7 @@
 @lab.command("soak")
 @click.option("--seeds", default=4, show_default=True, help="How many soaks to play.")
 @click.option("--first", default=1, show_default=True, help="The first seed.")
-@click.option("--conductors", type=click.IntRange(2, 200), help="Processes of each; drawn, 10 to 20, without.")
+@click.option("--conductors", type=click.IntRange(2, 200), help="Processes of each, 10 to 20 without.")
 @click.option("--jobs", default=1, show_default=True, help="Soaks at once; each keeps some four cores busy.")
 @click.option("--out", type=click.Path(path_type=Path), help="Keep a JSON line for each soak in this file.")
 def soaks(seeds: int, first: int, conductors: int | None, jobs: int, out: Path | None) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,4 @@
-"""A short, seeded soak of real processes under overlapping faults; `python -m hoplane.lab soak` plays more."""
+"""A short, seeded soak of real processes under overlapping faults; `hoplane.lab soak` plays more."""
 
 import pytest
 
