--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -189,16 +189,20 @@
 
 def on_left(state: Conductor, now: timedelta, event: ev.Left) -> Iterator[ev.Effect]:
     """Owe nothing to a client that is gone, and end what is out for it, a stream too."""
-    request = state.requests.get(event.id)
-    if request is None:
-        return
+    if request := state.requests.get(event.id):
+        request.owed = False
+        yield from end_request(state, now, request)
+
+
+def end_request(state: Conductor, now: timedelta, request: Request) -> Iterator[ev.Effect]:
+    """Decide nothing more for a request, and give up what is out for it."""
     told = not request.closed
     request.closed = True
     if told:
-        yield from decide(state, now, api.Gone(event.id))
+        yield from decide(state, now, api.Gone(request.asked.id))
     for index in range(len(request.attempts)):
         yield from abandon(request, index, Status.CANCELLED)
-    yield from sweep_up(state, now, event.id)
+    yield from sweep_up(state, now, request.asked.id)
 
 
 def on_began(state: Conductor, now: timedelta, event: ev.Began) -> Iterator[ev.Effect]:
@@ -351,8 +355,8 @@
 
     Guards against requests that SIGKILL would leave without an answer: it comes with what is out."""
     if request := state.requests.get(event.id):
-        request.owed = not (request.closed or request.began)
-    yield from on_left(state, now, ev.Left(event.id))
+        request.owed = request.owed or not (request.closed or request.began)
+        yield from end_request(state, now, request)
 
 
 HANDLERS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -15,6 +15,7 @@
 from hoplane import __version__, log
 from hoplane.config import Config
 from hoplane.core.events import Asked, Forward, Listed, Reloaded
+from hoplane.core.invariants import Violation
 from hoplane.decision.interface import ClassSettings, Effect, Role, Settings, State, Status
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
@@ -183,9 +184,15 @@
         self.config, self.pool = config, pool
         self.classes = {cls.name: cls for cls in config.settings.classes}
         self.server = Server(config, self.handle, problem)
+        self.server.door.report = self.report
         self.models: dict[str, Runtime] = {}
         self.numbers = count(1)
 
+    def report(self, violation: Violation) -> None:
+        """Count what should never happen to a client's connection, which belongs to no model."""
+        for runtime in self.runtimes[:1]:
+            runtime.report(violation)
+
     def retune(self, settings: Settings) -> None:
         """Take requests of the new classes from now on; those taken keep their rules."""
         self.classes = {cls.name: cls for cls in settings.classes}
--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -189,6 +189,7 @@
         self.know(config.settings)
         self.server, self.runtimes = Server(config, self.handle, problem), [runtime]
         self.server.move = self.move
+        self.server.door.report = runtime.report
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
--- a/hoplane/lab/soak.py
+++ b/hoplane/lab/soak.py
@@ -67,6 +67,7 @@
                 each.signal(signal.SIGCONT)
                 each.signal(signal.SIGKILL)
             await asyncio.gather(*(each.stop() for each in self.fleet.endpoints))
+            await asyncio.gather(*(each.agent.stop() for each in self.processes))
             measuring.cancel()
         return self.outcome()
 
--- a/hoplane/lab/soak_oracle.py
+++ b/hoplane/lab/soak_oracle.py
@@ -11,6 +11,7 @@
 HELD_EXTRA = 0.3  # seconds that something may be held longer than the settings say
 EXCUSED_TAKEN = 0.7  # seconds after SIGTERM: what comes until then may be unanswered at SIGKILL
 STARTS_WITHIN = 0.3  # seconds in which an interpreter may not heed signals yet
+BAD_CLIENT = 3.0  # seconds within which a bad client has its error or a close
 READ_FOR_SURE = 0.05  # seconds: an end so long after a request's last byte came after it was read
 
 
@@ -118,6 +119,7 @@
     faulted: Spans = field(default_factory=Spans)  # endpoints whose path or answers were at fault
     cut: Spans = field(default_factory=Spans)  # endpoints whose path was cut
     broken: Spans = field(default_factory=Spans)  # conductors whose connections fail on their own machine
+    stalls: list[tuple[int, float, float]] = field(default_factory=list)  # conductor, when, how long
     ended: float = 0.0
 
     def trace(self, id: str) -> Trace:
@@ -252,6 +254,14 @@
                 yield Problem("fault", f"conductor {conductor}: {line}")
 
 
+def check_stalls(record: Record) -> Iterable[Problem]:
+    """Check that clients that stopped in the middle of a request had an error or a close in time."""
+    for conductor, at, length in record.stalls:
+        if length > BAD_CLIENT + record.slack:
+            text = f"a client that stopped midway at conductor {conductor} waited {length:.3f} s ({at:.3f})"
+            yield Problem("lost", text)
+
+
 def judge(record: Record) -> list[Problem]:
     """Give all broken rules of a soak."""
     found: list[Problem] = []
@@ -262,5 +272,6 @@
         found += check_runs(ask, trace)
         found += check_held(record, ask, trace)
     found += check_drains(record)
+    found += check_stalls(record)
     found += check_lives(record)
     return found
--- a/hoplane/lab/soak_world.py
+++ b/hoplane/lab/soak_world.py
@@ -22,6 +22,7 @@
 FAULT_LINES = ("violation", "task_broke", "request_broke", "relay_broke", "loop_fault", "operator_broke")
 RELEASE_WITHIN, DRAIN_GRACE, CONNECT_WITHIN = 0.5, 1.0, 0.25
 UNKNOWN_AFTER = 0.3  # seconds after which an endpoint answers that it knows of no read
+STALLS, STALL_MOST = 0.02, 5.0  # the share of requests that stop midway, and the longest wait for an end
 GIVE_UP = 2.0  # seconds after a request's time for which its client still waits
 PORT = 8080
 CLASSES = (("lookup", "pure"), ("booking", "side_effect"))
@@ -168,11 +169,24 @@
 
     def __init__(self, conductor: int, fleet: Fleet) -> None:
         self.conductor, self.fleet = conductor, fleet
+        self.serving: set[asyncio.Task] = set()
+
+    async def stop(self) -> None:
+        self.server.close()
+        for task in self.serving:
+            task.cancel()
+        await asyncio.gather(*self.serving, return_exceptions=True)
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.begin, "127.0.0.1", 0)
         self.address = "{}:{}".format(*self.server.sockets[0].getsockname())
 
+    def begin(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve a connection in a task that `stop` can end."""
+        task = asyncio.create_task(self.serve(reader, writer))
+        self.serving.add(task)
+        task.add_done_callback(self.serving.discard)
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(ConnectionError, asyncio.IncompleteReadError, ValueError):
             while call := await read_message(reader):
@@ -367,12 +381,25 @@
             self.writer.write(data[:60])
             await asyncio.sleep(self.rng.uniform(0.0, 0.4))
             data = data[60:]
+        if self.rng.random() < STALLS:
+            await self.stall(data)
+            return
         self.writer.write(data)
         ask = Ask(id, self.conductor.number, effect == "side_effect", now(), now() + left)
         self.record.asks.append(ask)
         patience = self.rng.uniform(0.0, left) if self.rng.random() < 0.12 else None
         await self.answer(ask, patience)
 
+    async def stall(self, data: bytes) -> None:
+        """Stop in the middle of a request and stay, until an error or a close comes."""
+        self.writer.write(data[: self.rng.randrange(1, len(data))])
+        begun = now()
+        with suppress(ConnectionError, TimeoutError):
+            async with asyncio.timeout(STALL_MOST):
+                await self.reader.read(1)
+        self.record.stalls.append((self.conductor.number, begun, now() - begun))
+        self.drop()
+
     async def answer(self, ask: Ask, patience: float | None) -> None:
         """Read an answer to its end, or leave after a while."""
         most = ask.deadline + GIVE_UP - ask.sent if patience is None else patience
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -18,6 +18,9 @@
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
 from hoplane import log
+from hoplane.core import permits
+from hoplane.core.invariants import Violation
+from hoplane.core.permits import CloseFacts
 from hoplane.core.transient import EXHAUSTED
 
 HEAD_MOST = 64 * 1024  # bytes of an answer's head, with all interim ones ahead of it
@@ -231,8 +234,14 @@
         """Tell whether it is idle and may be closed: not over a head that came unread, nor one on its way.
 
         Guards against the close of a connection just taken, whose first request comes a moment later."""
-        ripe = self.served or self.since < self._loop.time() - FRESH.total_seconds()
-        return self.idle and ripe and not waiting_bytes(self.transport)
+        age = timedelta(seconds=self._loop.time() - self.since)
+        facts = CloseFacts(not self.idle, bool(waiting_bytes(self.transport)), age, self.served, FRESH)
+        return permits.may_close(facts) is None
+
+    @property
+    def owes(self) -> bool:
+        """Tell whether a request was read from it that has no answer yet."""
+        return self._current_request is not None or bool(self._messages)
 
     @property
     def gone(self) -> bool:
@@ -356,6 +365,7 @@
         self.problem, self.most, self.turned_most, self.body_most = problem, most, turned_most, body_most
         self.lingering: OrderedDict[Caller, None] = OrderedDict()
         self.turned_away: OrderedDict[TurnedAway, None] = OrderedDict()
+        self.report: Callable[[Violation], object] = lambda violation: None  # of what should never happen
         self.advises = True  # whether a refusal may tell when to come back
 
     def make(self, message, payload, protocol, writer, task) -> web.BaseRequest:
@@ -378,10 +388,16 @@
             return True
         for each in sorted(self._connections, key=lambda each: (each.served, each.since)):
             if each.rests:
-                each.force_close()
+                self.close_idle(each)
                 return True
         return False
 
+    def close_idle(self, caller: Caller) -> None:
+        """Close a connection that rests; aiohttp's own close() would end its task alone."""
+        if caller.owes:
+            self.report(Violation.CLOSED_UNANSWERED)
+        caller.force_close()
+
     def asked_at(self, request: web.BaseRequest) -> float:
         """Give the loop's time from which a request is awaited: its connection's start, for the first."""
         caller = request.protocol
@@ -393,8 +409,7 @@
         Guards against a close that crosses a request on its way: what the system holds is looked at first."""
         for connection in self.connections:
             if connection.rests:
-                # Guards against idle connections that stay open: aiohttp's close() ends their task alone.
-                connection.force_close()
+                self.close_idle(connection)
 
 
 def waiting_bytes(transport: asyncio.BaseTransport | None) -> bytes | None:
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -36,6 +36,7 @@
 HOLD_WAIT = timedelta(seconds=0.45)  # an endpoint that knows of no read says so after 0.3 s
 SHORT_WAIT = timedelta(seconds=1)  # for the body of an answer that is no stream
 QUIET = timedelta(seconds=4.8)  # without an event: a client must not be left waiting for 5 s
+HELD_EXTRA = timedelta(milliseconds=300)  # what is held has so much more than the settings say
 OVERDUE = timedelta(milliseconds=250)  # after a request's time: it is answered then whatever went wrong
 
 
@@ -176,6 +177,10 @@
         exchange.fail(False)
         self.feed(ev.Left(id))
 
+    def report(self, violation: Violation) -> None:
+        """Count and log a violation that belongs to no request."""
+        self.noted(self.invariants.note(violation), "")
+
     def noted(self, violation: Violation | None, id: str) -> None:
         """Log a violation that was counted."""
         if violation is not None:
@@ -502,6 +507,8 @@
         limit = self.state.settings.release_within
         if effect.left is not None and limit and (held := to_ns(self.clock.now() - effect.left)) > limit:
             log.seldom("release_late", request=effect.id, held_ms=held // 1_000_000, asked=asked)
+            if held > limit + to_ns(HELD_EXTRA):
+                self.noted(self.invariants.note(Violation.HELD_TOO_LONG), effect.id)
 
     async def release(self, effect: ev.LetGo) -> None:
         """Release what is held, and again for a read that was cut off, while nothing else is out for it."""
