Count a request's time from its arrival, and take start times and hand-overs off the wall clock

The system tells when the last bytes came (TCP_INFO); the new test fails without that (3979 ms told, 3050 at most).

--- a/hoplane/fronts/platform.py
+++ b/hoplane/fronts/platform.py
@@ -6,6 +6,7 @@
 import re
 from collections.abc import Container, Mapping
 from contextlib import suppress
+from dataclasses import replace
 from datetime import timedelta
 from math import ceil, isfinite
 
@@ -16,6 +17,7 @@
 from hoplane.config import Config, ConfigError, text
 from hoplane.core.events import Asked, Closing, Endpoint, Forward, Listed, Reloaded, Turned
 from hoplane.decision.interface import Settings, State, Status
+from hoplane.net.aio import waited
 from hoplane.net.runtime import Runtime
 from hoplane.net.server import MARGIN, Relay, Server, StreamSink, advice, problem, target
 from hoplane.net.wire import Call, Verdict
@@ -257,6 +259,8 @@
             return self.turned(asked, problem(409, "this id is in use"))
         if len(runtime.exchanges) >= self.config.max_open:
             return self.turned(asked, self.busy())
+        # The client's time runs since its last byte came, not since we came to read it.
+        asked = replace(asked, patience=max(timedelta(), asked.patience - waited(request.transport)))
         exchange = Exchange(request, asked, body)
         if self.server.stopping or self.server.leaving is not None:
             exchange.response.force_close()
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -7,6 +7,7 @@
 import asyncio
 import functools
 import socket
+import struct
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from contextlib import suppress
@@ -429,6 +430,28 @@
         probe.detach()
 
 
+TCP_INFO_STATE, TCP_INFO_LAST_RECEIVED, TCP_INFO_SIZE = 0, 52, 56  # offsets in struct tcp_info of Linux
+ESTABLISHED, CLOSE_WAIT = 1, 8
+WAITED_MOST = timedelta(seconds=10)  # a figure over this tells of something else
+
+
+def waited(transport: asyncio.BaseTransport | None) -> timedelta:
+    """Give how long ago the last bytes of a connection arrived, zero where the system does not tell.
+
+    They may have waited to be accepted, or to be read by a loop that was held up. Source:
+    `tcpi_last_data_recv` of Linux's TCP_INFO, in milliseconds."""
+    raw = transport and transport.get_extra_info("socket")
+    try:
+        info = raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_SIZE)
+    except (AttributeError, OSError):
+        return timedelta()
+    if len(info) < TCP_INFO_SIZE or info[TCP_INFO_STATE] not in (ESTABLISHED, CLOSE_WAIT):
+        return timedelta()
+    (milliseconds,) = struct.unpack_from("=I", info, TCP_INFO_LAST_RECEIVED)
+    found = timedelta(milliseconds=milliseconds)
+    return found if found <= WAITED_MOST else timedelta()
+
+
 def listening(host: str, port: int, inherited: int | None = None) -> socket.socket:
     """Give a socket bound to an address: the one inherited where there is one, else a new one."""
     if inherited is not None:
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections import deque
 from collections.abc import Callable, Coroutine, Mapping
-from contextlib import suppress
 from dataclasses import replace
 from datetime import UTC, datetime, timedelta
 
@@ -14,7 +14,6 @@
 from hoplane import log
 from hoplane.config import Config
 from hoplane.core import events as ev
-from hoplane.core import release as releasing
 from hoplane.core.border import to_ns
 from hoplane.core.figures import dump
 from hoplane.core.invariants import Invariants, Violation
@@ -26,17 +25,15 @@
 from hoplane.net.aio import Spoilt, Stale
 from hoplane.net.clock import Clock
 from hoplane.net.pool import Drained, Pool, Sending
+from hoplane.net.relay import Relay, read_short, spoilt
+from hoplane.net.releases import Releases
 from hoplane.net.server import Bodies
-from hoplane.net.wire import Exchange, Sink
+from hoplane.net.start_times import StartTimes
+from hoplane.net.wire import Exchange
 
-HEAD_MOST = 64 * 1024  # bytes read of an answer that is not a stream
-TAIL = 2048  # bytes kept of a stream's end, where usage and the load report stand
 UNHEARD = timedelta(milliseconds=500)  # an attempt given up after this casts doubt on kept connections
 PROBE_WAIT = timedelta(milliseconds=300)  # it is answered beside the queue, or the machine is gone
 HOLD_WAIT = timedelta(seconds=0.45)  # an endpoint that knows of no read says so after 0.3 s
-SHORT_WAIT = timedelta(seconds=1)  # for the body of an answer that is no stream
-QUIET = timedelta(seconds=4.8)  # without an event: a client must not be left waiting for 5 s
-HELD_EXTRA = timedelta(milliseconds=300)  # what is held has so much more than the settings say
 OVERDUE = timedelta(milliseconds=250)  # after a request's time: it is answered then whatever went wrong
 
 
@@ -53,11 +50,6 @@
 }
 
 
-def framed(answer: aiohttp.ClientResponse) -> bool:
-    """Tell whether an answer's end is told, so that one cut short can be known."""
-    return "Transfer-Encoding" in answer.headers or "Content-Length" in answer.headers
-
-
 def nowhere(id: str) -> None:
     """Give no path: these endpoints hold nothing."""
 
@@ -80,12 +72,15 @@
         self.live_path, self.hold_path, self.read_report = live_path, hold_path, read_report
         self.loop = asyncio.get_running_loop()
         self.answers = Bodies(config.limits.bodies)
+        self.relay = Relay(self.answers, self.feed)
         self.exchanges: dict[str, Exchange] = {}
         self.attempts: dict[tuple[str, int], asyncio.Task] = {}
         self.sent: dict[tuple[str, int], Sending] = {}
         self.tasks: set[asyncio.Task] = set()
         self.queue: deque[ev.Event] = deque()
         self.busy = False
+        self.releases = Releases(pool, self.state, self.clock, self.release_path, self.report)
+        self.start_times = StartTimes()
         self.last_sent: dict[str, datetime] = {}  # when something new went to each endpoint
         self.heed: Callable[[str, Status], None] | None = None  # told how each attempt ended, where set
         # Asked as an attempt's bytes go, the last one of what must not run twice; set where it is shared.
@@ -115,6 +110,8 @@
         counted and logged, and a request that it concerns is answered at the latest as its time is over."""
         effects = []
         try:
+            if type(event) is ev.Listed:
+                event = self.start_times.convert(event, timedelta(seconds=time.time()), self.clock.now())
             self.count(event)
             effects.extend(steps(self.state, self.clock.now(), event))
         except Exception as error:
@@ -173,13 +170,17 @@
         request = self.state.requests.get(id)
         if request is not None and request.began:
             return
-        self.noted(self.invariants.note(Violation.ANSWERED_LATE), id)
+        self.report(Violation.ANSWERED_LATE, id)
         exchange.fail(False)
         self.feed(ev.Left(id))
 
-    def report(self, violation: Violation) -> None:
-        """Count and log a violation that belongs to no request."""
-        self.noted(self.invariants.note(violation), "")
+    def report(self, violation: Violation, id: str = "") -> None:
+        """Count and log a violation."""
+        self.noted(self.invariants.note(violation), id)
+
+    def release_path(self, id: str) -> str | None:
+        """Give the path that releases what is held for a request."""
+        return self.hold_path(id)
 
     def noted(self, violation: Violation | None, id: str) -> None:
         """Log a violation that was counted."""
@@ -292,6 +293,10 @@
     def let_go(self, effect: ev.LetGo) -> None:
         self.spawn(self.release(effect))
 
+    async def release(self, effect: ev.LetGo) -> None:
+        """Release what is held for a request."""
+        await self.releases.release(effect)
+
     # --- work
 
     def over(self, effect: ev.Forward, task: asyncio.Task) -> None:
@@ -328,7 +333,7 @@
                 call.method, effect.endpoint.address, call.path, told, headers=headers, data=data
             )
         except Spoilt as error:
-            return over(self.spoilt(effect, error))
+            return over(spoilt(effect, error))
         except asyncio.CancelledError:
             if self.loop.time() - begun > UNHEARD.total_seconds():
                 self.pool.connector.drop_idle(effect.endpoint.address)
@@ -349,12 +354,12 @@
         try:
             head = exchange.read_head(answer.status, answer.headers, b"")
             if head.status is not None:
-                body = await self.read_short(answer)
+                body = await read_short(answer)
                 whole = body is not None
                 if whole:
                     head = exchange.read_head(answer.status, answer.headers, body)
                 return over(head.status, head.note, head.load)
-            status, tail = await self.relay(effect, exchange, answer)
+            status, tail = await self.relay.relay(effect, exchange, answer)
             whole = status is Status.OK
             note, load = exchange.read_tail(tail)
             return over(status, note, {**head.load, **load})
@@ -364,97 +369,6 @@
             else:
                 answer.close()
 
-    @staticmethod
-    async def read_short(answer: aiohttp.ClientResponse) -> bytes | None:
-        """Read an answer that is no stream; None where it cannot be read to its end."""
-        data = b""
-        with suppress(aiohttp.ClientError, OSError, TimeoutError, RuntimeError):
-            async with asyncio.timeout(SHORT_WAIT.total_seconds()):
-                while len(data) <= HEAD_MOST:
-                    if not (part := await answer.content.readany()):
-                        return data
-                    data += part
-        return None
-
-    def spoilt(self, effect: ev.Forward, error: Exception) -> Status:
-        """Tell of an answer that cannot be read: the endpoint is up, and the request may have run."""
-        log.seldom("answer_spoilt", endpoint=effect.endpoint.name, request=effect.id, error=str(error)[:200])
-        return Status.ERROR
-
-    async def relay(self, effect: ev.Forward, exchange: Exchange, answer: aiohttp.ClientResponse):
-        """Pass a stream on, event by event as they come; a break is the client's too once one has gone.
-
-        Guards against passing on as good what a spoilt piece holds: an event goes out once it is whole."""
-        sink, tail, began = exchange.sink, b"", False
-        if sink.whole:
-            return await self.relay_whole(effect, sink, answer)
-        sink.begin()
-        try:
-            last = False
-            while not last:
-                async with asyncio.timeout(QUIET.total_seconds() if began else None):
-                    while not (data := sink.take(part := await answer.content.readany())) and part:
-                        pass  # a piece of an event is no sign of life: the quiet time runs on
-                last = not part
-                if last:
-                    data = sink.rest(framed=answer.content.at_eof() and framed(answer))
-                if not data:
-                    continue
-                if not began:
-                    began = True
-                    self.feed(ev.Began(effect.id, effect.attempt))
-                    await sink.start()
-                tail = (tail + data)[-TAIL:]
-                await sink.write(data)
-            if not began:
-                raise Spoilt("a stream with no event")
-        except asyncio.CancelledError:
-            if began:
-                sink.abort()
-            raise
-        except Exception as error:
-            # Guards against errors of any kind that would leave a client to wait on a stream that has ended.
-            if began:
-                sink.abort()
-            if isinstance(error, Spoilt | ValueError):
-                return self.spoilt(effect, error), tail
-            if not isinstance(error, aiohttp.ClientError | OSError | TimeoutError):
-                log.say("relay_broke", error=repr(error))
-            return Status.RESET, tail
-        await sink.finish()
-        return Status.OK, tail
-
-    async def relay_whole(self, effect: ev.Forward, sink: Sink, answer: aiohttp.ClientResponse):
-        """Pass an answer on once it is whole."""
-        try:
-            data = await self.read_whole(answer, sink)
-        except Spoilt as error:
-            return self.spoilt(effect, error), b""
-        except (aiohttp.ClientError, OSError, TimeoutError, RuntimeError):
-            return Status.RESET, b""
-        if data is None:
-            return Status.ERROR, b""
-        if not sink.sound(data):
-            return Status.RESET, b""
-        self.feed(ev.Began(effect.id, effect.attempt))
-        await sink.start()
-        await sink.write(data)
-        await sink.finish()
-        return Status.OK, data
-
-    async def read_whole(self, answer: aiohttp.ClientResponse, sink: Sink) -> bytes | None:
-        """Read an answer to its end within the memory for answers, None where it is too much."""
-        data = bytearray()
-        while part := await answer.content.readany():
-            # Guards against endpoints that answer more, all together, than the limit on memory allows.
-            if not self.answers.take(len(part)):
-                self.answers.give(len(data))
-                log.seldom("answer_too_large", read=len(data))
-                return None
-            data += part
-        sink.done.add_done_callback(lambda done: self.answers.give(len(data)))
-        return bytes(data)
-
     async def hold(self, effect: ev.AskHold) -> None:
         """Ask for a place once the read is on its way, as no endpoint knows of it before, and until its end.
 
@@ -484,7 +398,7 @@
         try:
             async with asyncio.timeout(PROBE_WAIT.total_seconds()):
                 async with self.pool.request("GET", effect.endpoint.address, self.live_path) as answer:
-                    body = await self.read_short(answer)
+                    body = await read_short(answer)
                     status = Status.OK if answer.status == 200 else Status.ERROR
                     load = self.read_report(body or b"")
         except TimeoutError:
@@ -501,56 +415,3 @@
             log.seldom("probe_unanswered", endpoint=effect.endpoint.name, status=status.value)
         took = timedelta(seconds=self.loop.time() - begun)
         self.feed(ev.Probed(effect.server, status, took, load))
-
-    def released(self, effect: ev.LetGo, asked: int) -> None:
-        """Tell of a release that was taken later than the settings want."""
-        limit = self.state.settings.release_within
-        if effect.left is not None and limit and (held := to_ns(self.clock.now() - effect.left)) > limit:
-            log.seldom("release_late", request=effect.id, held_ms=held // 1_000_000, asked=asked)
-            if held > limit + to_ns(HELD_EXTRA):
-                self.noted(self.invariants.note(Violation.HELD_TOO_LONG), effect.id)
-
-    async def release(self, effect: ev.LetGo) -> None:
-        """Release what is held, and again for a read that was cut off, while nothing else is out for it."""
-        await self.release_once(effect)
-        for pause in releasing.REPEATS if effect.again else ():
-            await asyncio.sleep(pause.total_seconds())
-            if effect.id in self.state.requests:  # it goes on elsewhere: its end releases all
-                return
-            await self.release_once(replace(effect, left=None))
-
-    async def release_once(self, effect: ev.LetGo) -> None:
-        """Call endpoint after endpoint until one has taken the release, or an answer has begun.
-
-        Guards against a release that ends unheard while something is held: what fails at once is no reason to
-        end, and no endpoint has to be the one that answers."""
-        path = self.hold_path(effect.id)
-        if path is None:
-            return
-        await asyncio.sleep(effect.wait.total_seconds())
-        begun, failures, asked = self.loop.time(), 0, 0
-        calls: set[asyncio.Task] = set()
-        listed = list(self.state.fleet.values())
-        try:
-            for endpoint in releasing.order(effect.id, effect.endpoints, listed, self.state.settings.zone):
-                call = self.pool.call("DELETE", endpoint.address, path, releasing.PATIENCE)
-                calls.add(self.loop.create_task(call))
-                asked += 1
-                # Guards against a cut-off machine: the next is asked while the last may still answer.
-                done, calls = await asyncio.wait(
-                    calls, timeout=releasing.TRY.total_seconds(), return_when=asyncio.FIRST_COMPLETED
-                )
-                if any(task.result() == 204 for task in done):
-                    self.released(effect, asked)
-                    return
-                failures = failures + 1 if done else 0
-                if done:
-                    await asyncio.sleep(releasing.pause(failures).total_seconds())
-                if self.state.began(effect.id):
-                    return
-                if self.loop.time() - begun > releasing.MOST.total_seconds():
-                    break
-            log.seldom("release_unheard", request=effect.id, asked=asked)
-        finally:
-            for task in calls:
-                task.cancel()
--- a/tests/test_incident.py
+++ b/tests/test_incident.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import re
+import signal
 from contextlib import asynccontextmanager
 
 import pytest
@@ -203,3 +204,25 @@
         faults.load_plan(file)
     ended = CliRunner().invoke(lab, ["faulty", str(file)])
     assert ended.exit_code == 2 and text in ended.output
+
+
+def test_the_time_told_is_what_is_left_of_a_request_that_waited_to_be_read(tmp_path):
+    """The process stands still for a second with two requests in the system, one on a new connection."""
+    async def test():
+        async with partitioned(tmp_path) as program:
+            _, kept = await program.connect()
+            kept.write(chat("one"))
+            reader, _ = program.servers
+            await reader.wait_for("POST /v1/chat", 2)
+            await asyncio.sleep(0.3)
+            program.process.send_signal(signal.SIGSTOP)
+            kept.write(chat("kept", left=4000))
+            _, new = await program.connect()
+            new.write(chat("new", left=4000))
+            await asyncio.sleep(1)
+            program.process.send_signal(signal.SIGCONT)
+            for call in (await reader.wait_for("POST /v1/chat", 4))[2:]:
+                assert 0 < int(call[1]["x-time-left-ms"]) <= 3050, "a second of it is over"
+            kept.close()
+            new.close()
+    asyncio.run(within(test(), 60))
