Hold no endpoint to be down for a connection that failed on our own machine

EADDRNOTAVAIL, ENETUNREACH, ENFILE and the like, and our own bound on sockets, set endpoints aside and made them come last. They now count as a connection that never came up by no fault of the endpoint (note KEPT); refused, unreachable and timed-out ones count as before.

--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 import struct
 from collections.abc import AsyncIterator, Callable, Mapping
@@ -15,6 +16,7 @@
 from yarl import URL
 
 from hoplane.config import Config
+from hoplane.core.transient import OWN_MACHINE
 from hoplane.net.aio import Connector, never_resend
 from hoplane.net.tally import Tally
 
@@ -24,6 +26,11 @@
 IDLE_SHARE = 0.5  # of the endpoints' idle time: what is written to a connection later may end as a reset
 
 
+def failed_here(error: Exception) -> bool:
+    """Tell whether a connection failed on our own machine, which tells nothing of its endpoint."""
+    return isinstance(error, aiohttp.ClientConnectorError) and error.os_error.errno in OWN_MACHINE
+
+
 class Drained(aiohttp.ClientConnectionError):
     """A call that we held back as it was to go; see `Sending`."""
 
@@ -105,7 +112,7 @@
             self.sockets = WeakSet(each for each in self.sockets if each.fileno() >= 0)
         # A dropped one closes a moment later, so one new connection may go before it.
         if len(self.sockets) >= self.most and not self.connector.drop_idle():
-            raise OSError("no socket is left for another connection")
+            raise OSError(errno.EMFILE, "no socket is left for another connection")
         made = self.made(info)
         self.sockets.add(made)
         return made
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -24,7 +24,7 @@
 from hoplane.decision.rules import Router
 from hoplane.net.aio import Spoilt, Stale
 from hoplane.net.clock import Clock
-from hoplane.net.pool import Drained, Pool, Sending
+from hoplane.net.pool import Drained, Pool, Sending, failed_here
 from hoplane.net.relay import Relay, read_short, spoilt
 from hoplane.net.releases import Releases
 from hoplane.net.server import Bodies
@@ -342,8 +342,8 @@
             return over(Status.CONNECT_FAILED, KEPT)  # by us, which tells nothing of the endpoint
         except Stale:
             return over(Status.RESET if sent.is_set() else Status.CONNECT_FAILED, KEPT)
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            if sent.denied or told.denied:
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            if sent.denied or told.denied or failed_here(error):
                 return over(Status.CONNECT_FAILED, KEPT)
             # Guards against a machine that is cut off, which gives no sign: the next request on a connection
             # kept from before would wait in silence again, while a new one fails as soon as a connect may.
--- a/tests/test_release.py
+++ b/tests/test_release.py
@@ -1,6 +1,7 @@
 """What is held is let go of, and nothing new reaches an endpoint told to drain, whatever connections do."""
 
 import asyncio
+import errno
 import socket
 from contextlib import asynccontextmanager, suppress
 from datetime import timedelta
@@ -8,12 +9,13 @@
 from types import SimpleNamespace
 
 import pytest
+from aiohttp import ClientConnectorError
 from standins import SETTINGS, Server, chat, entry, free_port, message, platform, within
 from test_runtime import let_go, start
 
 from hoplane.core import release
 from hoplane.core.events import Asked, Endpoint, Forward, Left, LetGo
-from hoplane.decision.interface import State
+from hoplane.decision.interface import KEPT, State, Status
 from hoplane.fronts.platform import read_list
 from hoplane.net.pool import Drained, Pool, Sending
 from hoplane.net.wire import Call
@@ -281,3 +283,25 @@
                 assert set(told["last_sent"]) == {"r1", "w1"}, "when something new last went to each"
     reader = None
     asyncio.run(within(test(), 60))
+
+
+@pytest.mark.parametrize("code, note", [
+    (errno.EADDRNOTAVAIL, KEPT), (errno.ENETUNREACH, KEPT), (errno.ENFILE, KEPT), (errno.ENOBUFS, KEPT),
+    (errno.EMFILE, KEPT), (errno.ECONNREFUSED, 0), (errno.EHOSTUNREACH, 0), (errno.ETIMEDOUT, 0),
+])
+def test_a_connection_that_fails_on_our_own_machine_tells_nothing_of_its_endpoint(code, note):
+    async def test():
+        async with late_connections(never_read, "reader") as (runtime, *_):
+            (endpoint,) = (each for each in runtime.state.fleet.values() if each.name == "r1")
+            key = SimpleNamespace(host="h", port=1, ssl=None, is_ssl=False)
+
+            async def fails(*told, **more):
+                raise ClientConnectorError(key, OSError(code, "x"))
+
+            runtime.pool.request = fails
+            forward = Forward("q", 7, endpoint, timedelta(seconds=4), reads=True)
+            runtime.sent["q", 7] = Sending()
+            ended = await runtime.play(forward, runtime.exchanges["q"])
+            del runtime.pool.request
+            assert (ended.status, ended.note) == (Status.CONNECT_FAILED, note)
+    asyncio.run(within(test(), 20))
