Look at a client's connection only where it may be closed, and release places on a plain 'not known'

Cause: since permits.may_close came in, every connection was looked at by a system call whether or not it could be closed.

--- a/hoplane/core/events.py
+++ b/hoplane/core/events.py
@@ -74,11 +74,12 @@
 
 @dataclass(slots=True, frozen=True)
 class HoldAnswered:
-    """What came of a hold: held, not held, or (None) not known."""
+    """What came of a hold: held, not held, or (None) not known. `silent`: the endpoint did not answer."""
 
     id: str
     attempt: int
     held: bool | None
+    silent: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -260,7 +260,7 @@
     request.holds -= 1
     request.cut = request.cut or event.held is None
     attempt = request.attempts[event.attempt]
-    if event.held is None and not attempt.over and not request.closed:
+    if event.held is None and not event.silent and not attempt.over and not request.closed:
         # The endpoint knows of no read: ours has not arrived, and what has not arrived stops no clock.
         yield let_go(state, request)
     if event.held is not False and attempt.over and not request.began:
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -11,6 +11,7 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import replace
 from datetime import timedelta
 
 import aiohttp
@@ -236,8 +237,11 @@
 
         Guards against the close of a connection just taken, whose first request comes a moment later."""
         age = timedelta(seconds=self._loop.time() - self.since)
-        facts = CloseFacts(not self.idle, bool(waiting_bytes(self.transport)), age, self.served, FRESH)
-        return permits.may_close(facts) is None
+        facts = CloseFacts(not self.idle, False, age, self.served, FRESH)
+        if permits.may_close(facts) is not None:
+            return False
+        # Only now, as a flood of new connections makes each of them be asked, and a look is a system call.
+        return permits.may_close(replace(facts, bytes_wait=bool(waiting_bytes(self.transport)))) is None
 
     @property
     def owes(self) -> bool:
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -374,7 +374,7 @@
 
         Guards against a place that is asked for or answered after the read's end: nobody would take it, and
         with a lost answer nobody would let go of it in time."""
-        key, held = (effect.id, effect.attempt), False  # what was never sent holds nothing
+        key, held, silent = (effect.id, effect.attempt), False, False  # what was never sent holds nothing
         asked, read, path = self.sending(effect), self.attempts.get(key), self.hold_path(effect.id)
         try:
             if read and path:
@@ -383,14 +383,14 @@
                 call = self.spawn(self.pool.call("POST", effect.endpoint.address, path, HOLD_WAIT, asked))
                 await asyncio.wait({call, read}, return_when=asyncio.FIRST_COMPLETED)
                 if call.done() and asked.is_set():
-                    held = {200: True, 409: False}.get(call.result())
+                    held, silent = {200: True, 409: False}.get(call.result()), call.result() is None
                 elif asked.is_set():
                     held = None
                 # The read is over: what has not arrived must not, behind the release. So the call is reset.
                 call.cancel()
                 await asyncio.wait({call})
         finally:
-            self.feed(ev.HoldAnswered(effect.id, effect.attempt, held))
+            self.feed(ev.HoldAnswered(effect.id, effect.attempt, held, silent))
 
     async def look(self, effect: ev.Probe) -> None:
         """Ask an endpoint for a sign of life; what tells nothing for sure counts as a reset."""
