--- a/hoplane/core/permits.py
+++ b/hoplane/core/permits.py
@@ -69,17 +69,6 @@
     most: int | None
 
 
-@dataclass(slots=True, frozen=True)
-class CloseFacts:
-    """What closing a client's connection between requests depends on."""
-
-    request_open: bool  # one was read and is not answered, or its head is being read
-    bytes_wait: bool  # the system holds bytes that were not read
-    age: timedelta  # since the connection was accepted or its last answer was written
-    served: bool  # it has carried a request before
-    fresh: timedelta  # how long a new connection may be silent before its first request
-
-
 def may_start(phase: Phase) -> Denial | None:
     """Tell whether a request that has just been read may be taken."""
     return Denial.STOPPING if phase is Phase.ENDING else None
@@ -107,8 +96,14 @@
     return Denial.NOT_REPEATABLE if facts.may_have_run and not facts.repeatable else None
 
 
-def may_close(facts: CloseFacts) -> Denial | None:
-    """Tell whether a client's connection may be closed without an answer."""
-    if facts.request_open or facts.bytes_wait:
+def may_close(
+    *, request_open: bool, bytes_wait: bool, age: float, served: bool, fresh: float
+) -> Denial | None:
+    """Tell whether a client's connection may be closed without an answer; asked for each in a flood of them.
+
+    `request_open`: one was read and is not answered, or its head is being read. `bytes_wait`: the system holds
+    bytes that were not read. `age`: seconds since it was accepted or its last answer was written. `served`: it
+    has carried a request before. `fresh`: seconds that a new one may be silent before its first request."""
+    if request_open or bytes_wait:
         return Denial.REQUEST_WAITS
-    return None if facts.served or facts.age > facts.fresh else Denial.TOO_YOUNG
+    return None if served or age > fresh else Denial.TOO_YOUNG
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -11,7 +11,6 @@
 from collections import OrderedDict, deque
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import replace
 from datetime import timedelta
 
 import aiohttp
@@ -22,7 +21,6 @@
 from hoplane import log
 from hoplane.core import permits
 from hoplane.core.invariants import Violation
-from hoplane.core.permits import CloseFacts
 from hoplane.core.transient import EXHAUSTED
 
 HEAD_MOST = 64 * 1024  # bytes of an answer's head, with all interim ones ahead of it
@@ -236,12 +234,17 @@
         """Tell whether it is idle and may be closed: not over a head that came unread, nor one on its way.
 
         Guards against the close of a connection just taken, whose first request comes a moment later."""
-        age = timedelta(seconds=self._loop.time() - self.since)
-        facts = CloseFacts(not self.idle, False, age, self.served, FRESH)
-        if permits.may_close(facts) is not None:
+        if not self.may_close(bytes_wait=False):
             return False
         # Only now, as a flood of new connections makes each of them be asked, and a look is a system call.
-        return permits.may_close(replace(facts, bytes_wait=bool(waiting_bytes(self.transport)))) is None
+        return self.may_close(bytes_wait=bool(waiting_bytes(self.transport)))
+
+    def may_close(self, bytes_wait: bool) -> bool:
+        """Tell whether it may be closed, with or without bytes that wait to be read."""
+        return permits.may_close(
+            request_open=not self.idle, bytes_wait=bytes_wait, age=self._loop.time() - self.since,
+            served=self.served, fresh=FRESH.total_seconds(),
+        ) is None
 
     @property
     def owes(self) -> bool:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -11,7 +11,7 @@
 from hoplane.core import events as ev
 from hoplane.core import permits
 from hoplane.core.invariants import LATE, Invariants, Violation
-from hoplane.core.permits import CloseFacts, Denial, Phase, RepeatFacts, SendFacts
+from hoplane.core.permits import Denial, Phase, RepeatFacts, SendFacts
 from hoplane.decision.interface import State, Status
 
 ZERO, SECOND = timedelta(), timedelta(seconds=1)
@@ -37,11 +37,11 @@
     assert permits.may_repeat(RepeatFacts(True, True, 4, 4)) is Denial.ATTEMPTS_USED
     assert permits.may_repeat(RepeatFacts(True, True, 3, 4)) is None
     assert [permits.may_start(phase) for phase in Phase] == [None, None, None, Denial.STOPPING]
-    rests = CloseFacts(False, False, SECOND, True, timedelta(seconds=0.3))
-    assert permits.may_close(rests) is None
-    assert permits.may_close(replace(rests, bytes_wait=True)) is Denial.REQUEST_WAITS
-    assert permits.may_close(replace(rests, request_open=True)) is Denial.REQUEST_WAITS
-    assert permits.may_close(replace(rests, served=False, age=ZERO)) is Denial.TOO_YOUNG
+    rests = {"request_open": False, "bytes_wait": False, "age": 1.0, "served": True, "fresh": 0.3}
+    assert permits.may_close(**rests) is None
+    assert permits.may_close(**{**rests, "bytes_wait": True}) is Denial.REQUEST_WAITS
+    assert permits.may_close(**{**rests, "request_open": True}) is Denial.REQUEST_WAITS
+    assert permits.may_close(**{**rests, "served": False, "age": 0.0}) is Denial.TOO_YOUNG
 
 
 def test_the_checks_count_an_answer_that_is_late_missing_or_the_second():
