--- a/hoplane/core/permits.py
+++ b/hoplane/core/permits.py
@@ -101,9 +101,9 @@
 ) -> Denial | None:
     """Tell whether a client's connection may be closed without an answer; asked for each in a flood of them.
 
-    `request_open`: one was read and is not answered, or its head is being read. `bytes_wait`: the system holds
-    bytes that were not read. `age`: seconds since it was accepted or its last answer was written. `served`: it
-    has carried a request before. `fresh`: seconds that a new one may be silent before its first request."""
+    `request_open`: one was read and is not answered, or its head is being read. `bytes_wait`: the system
+    holds bytes that were not read. `age`: seconds since it was accepted or its last answer was written.
+    `served`: it has carried a request before. `fresh`: seconds that a new one may be silent at first."""
     if request_open or bytes_wait:
         return Denial.REQUEST_WAITS
     return None if served or age > fresh else Denial.TOO_YOUNG
--- a/hoplane/net/aio.py
+++ b/hoplane/net/aio.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from datetime import timedelta
+from itertools import groupby
 
 import aiohttp
 from aiohttp import web
@@ -21,6 +22,7 @@
 from hoplane import log
 from hoplane.core import permits
 from hoplane.core.invariants import Violation
+from hoplane.core.permits import Denial
 from hoplane.core.transient import EXHAUSTED
 
 HEAD_MOST = 64 * 1024  # bytes of an answer's head, with all interim ones ahead of it
@@ -234,17 +236,19 @@
         """Tell whether it is idle and may be closed: not over a head that came unread, nor one on its way.
 
         Guards against the close of a connection just taken, whose first request comes a moment later."""
-        if not self.may_close(bytes_wait=False):
-            return False
-        # Only now, as a flood of new connections makes each of them be asked, and a look is a system call.
-        return self.may_close(bytes_wait=bool(waiting_bytes(self.transport)))
+        return self.close_denial() is None
+
+    def close_denial(self) -> Denial | None:
+        """Tell why it may not be closed, None where it may."""
+        # The look at the system comes last: a flood of new connections makes many of them be asked.
+        return self.denial(bytes_wait=False) or self.denial(bytes_wait=bool(waiting_bytes(self.transport)))
 
-    def may_close(self, bytes_wait: bool) -> bool:
-        """Tell whether it may be closed, with or without bytes that wait to be read."""
+    def denial(self, bytes_wait: bool) -> Denial | None:
+        """Tell why it may not be closed, with or without bytes that wait to be read."""
         return permits.may_close(
             request_open=not self.idle, bytes_wait=bytes_wait, age=self._loop.time() - self.since,
             served=self.served, fresh=FRESH.total_seconds(),
-        ) is None
+        )
 
     @property
     def owes(self) -> bool:
@@ -394,10 +398,15 @@
         if self.lingering:
             self.lingering.popitem(last=False)[0].force_close()
             return True
-        for each in sorted(self._connections, key=lambda each: (each.served, each.since)):
-            if each.rests:
-                self.close_idle(each)
-                return True
+        ordered = sorted(self._connections, key=lambda each: (each.served, each.since))
+        for _, group in groupby(ordered, key=lambda each: each.served):
+            for each in group:
+                denial = each.close_denial()
+                if denial is None:
+                    self.close_idle(each)
+                    return True
+                if denial is Denial.TOO_YOUNG:  # those behind it are younger still
+                    break
         return False
 
     def close_idle(self, caller: Caller) -> None:
