Release a place for a read that may not have arrived only once it has been held for long

Now it is released 0.3 s after that answer if the read is still out, about 0.6 s after it was asked for; the wait for the answer is 1 s again.

--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -25,6 +25,7 @@
 SETTLE = timedelta(milliseconds=15)  # a release waits so long after a cut: the close goes ahead of it
 HELD = timedelta(milliseconds=500)  # how long something may be held where the settings name no limit
 EARLY = timedelta(milliseconds=100)  # a release begins so long before that, for its way and a busy loop
+UNKNOWN_LEAD = timedelta(milliseconds=200)  # of the 300 ms before an answer "not known"; the rest is slack
 BACKSTOP = timedelta(milliseconds=5)  # after the deadline, which the module sees to by itself
 
 
@@ -78,6 +79,15 @@
     left: timedelta
 
 
+@dataclass(slots=True, frozen=True)
+class Place:
+    """The timer of a place that may be held for a read which may not have arrived."""
+
+    id: str
+    attempt: int
+    taken: timedelta
+
+
 @dataclass
 class Conductor:
     """The state that `reduce` changes."""
@@ -122,6 +132,11 @@
         limit = HELD if told is None else to_span(told)
         return max(limit / 2, limit - EARLY)
 
+    def place_time(self) -> timedelta:
+        """Give how long after an answer "not known" a place is released that may be held since before."""
+        told = self.settings.release_within
+        return max(ev.ZERO, (HELD if told is None else to_span(told)) - UNKNOWN_LEAD)
+
     def number(self, name: str) -> int:
         """Give an endpoint's number: the same at every conductor, as the module's ring hashes it."""
         if name not in self.numbers:
@@ -261,8 +276,9 @@
     request.cut = request.cut or event.held is None
     attempt = request.attempts[event.attempt]
     if event.held is None and not event.silent and not attempt.over and not request.closed:
-        # The endpoint knows of no read: ours has not arrived, and what has not arrived stops no clock.
-        yield let_go(state, request)
+        # The endpoint knew of no read: ours has not arrived, or arrived behind. If it is not over by the time
+        # that a place may be held, it may not have arrived at all, and what has not arrived stops no clock.
+        yield ev.Wake(now + state.place_time(), Place(request.asked.id, event.attempt, request.taken))
     if event.held is not False and attempt.over and not request.began:
         yield from note_left(state, now, request)
     if event.held is not None and not attempt.over:
@@ -287,6 +303,12 @@
         if (request := state.requests.get(event.timer.id)) and request.left == event.timer.left:
             yield from overdue(state, now, request)
         return
+    if isinstance(event.timer, Place):
+        request = state.requests.get(event.timer.id)
+        waits = request is not None and request.taken == event.timer.taken and not request.closed
+        if waits and not request.attempts[event.timer.attempt].over:
+            yield let_go(state, request)
+        return
     id, attempt, taken = event.timer
     request = state.requests.get(id)
     # Guards against a timer of an earlier request with the same id, which would end this one.
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -33,7 +33,7 @@
 
 UNHEARD = timedelta(milliseconds=500)  # an attempt given up after this casts doubt on kept connections
 PROBE_WAIT = timedelta(milliseconds=300)  # it is answered beside the queue, or the machine is gone
-HOLD_WAIT = timedelta(seconds=0.45)  # an endpoint that knows of no read says so after 0.3 s
+HOLD_WAIT = timedelta(seconds=1)  # an endpoint that knows of no read says so after 0.3 s
 OVERDUE = timedelta(milliseconds=250)  # after a request's time: it is answered then whatever went wrong
 
 
