--- a/hoplane/core/invariants.py
+++ b/hoplane/core/invariants.py
@@ -16,8 +16,6 @@
 class Violation(Enum):
     """What should never happen."""
 
-    SENT_AFTER_END = "sent_after_end"
-    SENT_UNLISTED = "sent_unlisted"
     RUN_TWICE = "run_twice"
     ANSWERED_TWICE = "answered_twice"
     ANSWERED_LATE = "answered_late"
@@ -68,9 +66,3 @@
     def closed(self, id: str) -> Violation | None:
         """Check the end of a request's handler: its answer was given, or its client has gone."""
         return self.note(Violation.ENDED_UNANSWERED) if self.due.pop(id, None) is not None else None
-
-    def sent(self, ended: bool, listed: bool) -> Violation | None:
-        """Check a send whose bytes have just gone."""
-        if ended:
-            return self.note(Violation.SENT_AFTER_END)
-        return None if listed else self.note(Violation.SENT_UNLISTED)
--- a/hoplane/lab/partition.py
+++ b/hoplane/lab/partition.py
@@ -42,7 +42,6 @@
         self.whole = asyncio.Event()  # set while bytes pass
         self.whole.set()
         self.connections: set[asyncio.Task] = set()
-        self.undelivered = 0  # connections whose waiting bytes were dropped, as their sender had reset them
 
     async def __aenter__(self) -> Partition:
         self.listener = socket.socket()
@@ -110,10 +109,8 @@
         loop = asyncio.get_running_loop()
         while True:
             await readable(source)
-            waited = not self.whole.is_set()
             await self.whole.wait()
             if was_reset(source):
-                self.undelivered += waited
                 raise ConnectionResetError
             data = await loop.sock_recv(source, PIECE)
             if not data:
--- a/hoplane/log.py
+++ b/hoplane/log.py
@@ -31,7 +31,7 @@
         if not self.flush():
             self.dropped += 1
             return
-        self.rest, begun = line, False
+        self.rest = line
         begun = self.flush() or len(self.rest) < len(line)
         if not begun or len(self.rest) > PENDING_MOST:
             self.rest = b""
