End the attempts of a request with its final answer, whether or not cancels are permitted

Cause: at the deadline the router gives the final answer and emits Cancel for the attempt in flight, but only where the settings permit cancels. The reducer closed the request and left its attempt in flight: refuse and fail in core/reducer.py abandoned nothing themselves, and the reducer's own deadline timer passes over requests that are closed. So with cancels forbidden nothing ended the attempt, and the relay wrote its response to the client's connection, which by then carried another request.

A request answered 503 behind a partition arrives at its reader when the path heals. A v2 server that hangs keeps its request for good.

Change: the reducer abandons what is in flight whenever it closes a request. The effects where cancels are permitted are the same in the same order, as the router's Cancel of an attempt already abandoned does nothing.

--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -313,6 +313,7 @@
         state.statistics.count(request.received.class_name, "answered" if status is Status.OK else "errored")
     if attempt.response_started or status is Status.OK:
         request.closed = True
+        yield from abandon_without_response(request)
     if status in MAY_HAVE_RUN_STATUSES:
         request.interrupted = True
     if not attempt.is_read and status in MAY_HAVE_RUN_STATUSES:
@@ -584,6 +585,7 @@
             permitted_retry_after(state, to_timedelta(action.retry_after)),
             "refused by the decision module",
         )
+        yield from abandon_without_response(request)
 
 
 def fail(state: ConductorState, now: timedelta, action: api.Fail) -> Iterator[ev.Effect]:
@@ -595,6 +597,7 @@
         yield ev.Fail(
             action.request_id, "the request may have run and must not be repeated, or its deadline has passed"
         )
+        yield from abandon_without_response(request)
 
 
 ACTIONS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
@@ -625,6 +628,15 @@
         yield ev.AbandonAttempt(request.received.id, index)
 
 
+def abandon_without_response(request: Request) -> Iterator[ev.Effect]:
+    """Abandon the attempts of a closed request whose response has not started: nobody waits for them.
+
+    `Settings.cancel` doesn't apply: it permits the router to give up an attempt that could still answer."""
+    for index, attempt in enumerate(request.attempts):
+        if not attempt.response_started:
+            yield from abandon(request, index, Status.CANCELLED)
+
+
 def track_read_state(
     state: ConductorState, now: timedelta, request: Request, attempt: Attempt, status: Status
 ) -> Iterator[ev.Effect]:
--- a/tests/test_fault_injection.py
+++ b/tests/test_fault_injection.py
@@ -10,7 +10,7 @@
 
 import pytest
 from click.testing import CliRunner
-from standins import Server, chat, entry, message, platform, within
+from standins import SETTINGS, Server, chat, entry, message, platform, within
 from test_platform import complete_read, stream_response
 
 from hoplane.lab import faults
@@ -65,12 +65,14 @@
     await program.process.wait()
 
 
+@pytest.mark.parametrize("cancel", [True, False], ids=["cancel allowed", "cancel not allowed"])
 @pytest.mark.parametrize("abandon", [disconnect, pass_the_deadline, kill])
-def test_abandoned_requests_behind_a_partition_never_arrive(tmp_path, abandon):
+def test_abandoned_requests_behind_a_partition_never_arrive(tmp_path, abandon, cancel):
     """Both endpoints are partitioned with open connections, the request is abandoned, and the paths heal."""
+    settings = {**SETTINGS, "allowed": {**SETTINGS["allowed"], "cancel": cancel}}
 
     async def test():
-        async with partitioned(tmp_path) as program:
+        async with partitioned(tmp_path, settings=settings) as program:
             for path in program.paths:
                 path.partition()
             await abandon(program)
--- a/tests/test_kserve.py
+++ b/tests/test_kserve.py
@@ -66,11 +66,14 @@
 
 
 @asynccontextmanager
-async def sidecar(tmp_path, *servers, allowed="", first=""):
+async def sidecar(tmp_path, *servers, allowed="", cancel=True, first=""):
     """Start a conductor with the repository's sample configuration, at the test's address and endpoints."""
     address = f"127.0.0.1:{free_port()}"
     text = (ROOT / "deploy/kserve.toml").read_text()
     text = text.replace("[settings.allowed]\n", f"[settings.allowed]\n{allowed}\n")
+    if not cancel:
+        assert "cancel = true" in text
+        text = text.replace("cancel = true", "cancel = false")
     (tmp_path / "kserve.toml").write_text(re.sub(r'listen = ".*?"', f'listen = "{address}"', text))
     (tmp_path / "xds").mkdir()
     (tmp_path / "xds/clusters.json").write_text((ROOT / "deploy/xds/clusters.json").read_text())
@@ -209,13 +212,15 @@
     run(test())
 
 
+@pytest.mark.parametrize("cancel", [True, False], ids=["cancel allowed", "cancel not allowed"])
 @pytest.mark.parametrize(("cls", "code", "retry_code"), [("lookup", 503, 503), ("booking", 502, 409)])
-def test_deadline_ends_the_attempt(tmp_path, cls, code, retry_code):
+def test_deadline_ends_the_attempt(tmp_path, cls, code, retry_code, cancel):
     async def test():
-        async with Server(hang) as server, sidecar(tmp_path, server) as program:
+        async with Server(hang) as server, sidecar(tmp_path, server, cancel=cancel) as program:
             assert await status(program, infer(cls=cls, time_left_ms=200)) == code
             assert (await within(server.closed.get()))[0].startswith("POST")
             assert await status(program, infer(cls=cls, time_left_ms=200)) == retry_code
+            assert await program.stop() == 0
 
     run(test())
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -245,6 +245,29 @@
     assert not harness.effects_of(answer) and not harness.state.requests
 
 
+@pytest.mark.parametrize("cancel", [True, False])
+@pytest.mark.parametrize("stage", ["read", "write"])
+@pytest.mark.parametrize(("cls", "answers"), [("safe", ev.Refuse), ("once", ev.Fail | ev.Refuse)])
+def test_final_answer_of_the_router_abandons_the_attempt_in_flight(cls, answers, stage, cancel):
+    """The router gives it at the deadline; it may not cancel attempts where the settings forbid that."""
+    harness = ReducerHarness(cancel=cancel)
+    harness.submit(cls=cls, idempotency_key="id")
+    (deadline,) = (
+        effect.timer
+        for effect in harness.effects_of(ev.SetTimer)
+        if isinstance(effect.timer, int) and effect.at == harness.now + 4 * SECOND - 2 * MS
+    )
+    attempt = harness.finish_read().attempt if stage == "write" else 0
+    harness.apply(ev.TimerFired(deadline), 4 * SECOND - 2 * MS)
+    assert len(harness.effects_of(answers)) == 1
+    assert harness.effects_of(ev.AbandonAttempt) == [ev.AbandonAttempt("q", attempt)]
+    if stage == "read":
+        harness.apply(ev.ReservationFinished("q", 0, None))
+    harness.apply(ev.AttemptEnded("q", attempt, Status.CANCELLED), MS)
+    assert harness.effects_of(ev.Release), "what the attempt may have left is released"
+    assert not harness.state.requests and not harness.state.idempotency_store.running
+
+
 def test_timer_of_an_earlier_request_with_the_same_id_is_ignored(harness):
     harness.submit()
     timers = [effect.timer for effect in harness.effects_of(ev.SetTimer)]
