Ask whether a request still waits before an endpoint's response goes to its client

Cause: the relay reported ResponseStarted and went on. The reducer ignored that event for a closed request, but the relay did not look at the outcome: it wrote the head and the events to the client's connection, and an end of such a stream by an error closed that connection in the middle of another request's answer. The check at run time that counts second answers (answered_twice) looked at the handler's end alone, so it counted nothing; DUMP and the log told a late response from no other response.

Change: permits.may_respond says whether a response may be passed on: not after the final answer, from an attempt that was given up, or beside another response. Relay asks by Runtime.start_response before the first byte, in both of its ways (streams and buffered answers), and the reducer checks the same when it binds the request. A denied response is closed and logged as response_too_late. Invariants.response_started counts a response that starts after the final answer as answered_twice, independently of the decision.

Why it works: the check and the binding of the request to the attempt are in one step of the event loop, before the first byte. A bound request gets no other final answer: its deadline no longer applies.

--- a/hoplane/core/invariants.py
+++ b/hoplane/core/invariants.py
@@ -59,10 +59,14 @@
             return self.record(Violation.ANSWERED_TWICE)
         return self.record(Violation.ANSWERED_LATE) if now > deadline + MAX_LATENESS else None
 
-    def response_started(self, id: str) -> None:
-        """Record the start of a request's response, after which its deadline no longer applies."""
-        if id in self.deadlines:
-            self.deadlines[id] = timedelta.max - MAX_LATENESS
+    def response_started(self, id: str) -> Violation | None:
+        """Record the start of a request's response; check that the request has no final answer yet.
+
+        The deadline no longer applies from then on. Returns the violation, if any."""
+        if id not in self.deadlines:
+            return self.record(Violation.ANSWERED_TWICE)
+        self.deadlines[id] = timedelta.max - MAX_LATENESS
+        return None
 
     def client_disconnected(self, id: str) -> None:
         """Record a client's disconnect: its request needs no answer."""
--- a/hoplane/core/permits.py
+++ b/hoplane/core/permits.py
@@ -1,4 +1,4 @@
-"""Final checks before bytes are sent, a connection is closed or a request is accepted. No I/O.
+"""Final checks before bytes are sent, a response or a request is accepted, or a connection is closed. No I/O.
 
 The choice of path and endpoint, and of retries, is made in `decision/router.py`. It is checked again here
 when it takes effect, since a wait, a signal or a list update may come between. The limits of memory, request
@@ -34,6 +34,7 @@
     STOPPING = "stopping"
     REQUEST_PENDING = "request_waits"
     CONNECTION_NEW = "connection_new"
+    RESPONSE_TOO_LATE = "response_too_late"
 
 
 class Phase(Enum):
@@ -102,6 +103,17 @@
     return Denial.NOT_REPEATABLE if conditions.may_have_run and not conditions.repeatable else None
 
 
+def may_respond(*, ended: bool, abandoned: bool, response_started: bool) -> Denial | None:
+    """Check whether a response that an endpoint has begun may be passed on to the client.
+
+    After the final answer, the client's connection may carry its next request.
+
+    `ended`: the request has its final answer, or its client has disconnected.
+    `abandoned`: the attempt was given up, so another one may have taken its place.
+    `response_started`: the client is receiving a response already."""
+    return Denial.RESPONSE_TOO_LATE if ended or abandoned or response_started else None
+
+
 def may_close(
     *, request_in_progress: bool, unread_bytes: bool, age: float, served: bool, initial_grace: float
 ) -> Denial | None:
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -154,6 +154,17 @@
             )
         )
 
+    def response_denial(self, id: str, index: int) -> Denial | None:
+        """Return why an attempt's response may not be passed on to the client, or None if it may."""
+        request = self.requests.get(id)
+        if request is None:
+            return permits.may_respond(ended=True, abandoned=False, response_started=False)
+        return permits.may_respond(
+            ended=request.closed,
+            abandoned=request.attempts[index].abandon_status is not None,
+            response_started=request.response_started,
+        )
+
     def response_started(self, id: str) -> bool:
         """Return whether a request's response has started; endpoints then release its state themselves."""
         request = self.requests.get(id)
@@ -285,10 +296,10 @@
 def on_response_started(
     state: ConductorState, now: timedelta, event: ev.ResponseStarted
 ) -> Iterator[ev.Effect]:
-    """Bind the request to this attempt; its deadline no longer applies."""
-    request = state.requests.get(event.id)
-    if request is None or request.closed:
+    """Bind the request to this attempt, if its response is permitted; the deadline no longer applies."""
+    if state.response_denial(event.id, event.attempt):
         return
+    request = state.requests[event.id]
     attempt = request.attempts[event.attempt]
     attempt.response_started = request.response_started = True
     request.held_since = None
--- a/hoplane/net/relay.py
+++ b/hoplane/net/relay.py
@@ -48,10 +48,13 @@
 
 
 class Relay:
-    """Passes responses on within a memory budget; `feed` receives the event that a response has begun."""
+    """Passes responses on within a memory budget.
 
-    def __init__(self, response_memory: MemoryBudget, feed: Callable[[ev.Event], None]) -> None:
-        self.response_memory, self.feed = response_memory, feed
+    `start_response` is called before an attempt's first bytes go to the client, and returns whether they may.
+    """
+
+    def __init__(self, response_memory: MemoryBudget, start_response: Callable[[ev.Forward], bool]) -> None:
+        self.response_memory, self.start_response = response_memory, start_response
 
     async def relay(self, effect: ev.Forward, exchange: Exchange, response: aiohttp.ClientResponse):
         """Pass a stream on event by event; once an event was sent, a failure also breaks the client's stream.
@@ -74,8 +77,9 @@
                 if not data:
                     continue
                 if not began:
+                    if not self.start_response(effect):
+                        return Status.CANCELLED, b""
                     began = True
-                    self.feed(ev.ResponseStarted(effect.id, effect.attempt))
                     await sink.start()
                 tail = (tail + data)[-TAIL_BYTES:]
                 await sink.write(data)
@@ -109,7 +113,8 @@
             return Status.ERROR, b""
         if not sink.is_complete(data):
             return Status.RESET, b""
-        self.feed(ev.ResponseStarted(effect.id, effect.attempt))
+        if not self.start_response(effect):
+            return Status.CANCELLED, b""
         await sink.start()
         await sink.write(data)
         await sink.finish()
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -89,7 +89,7 @@
         )
         self.loop = asyncio.get_running_loop()
         self.response_memory = MemoryBudget(config.limits.body_bytes)
-        self.relay = Relay(self.response_memory, self.feed)
+        self.relay = Relay(self.response_memory, self.start_response)
         self.exchanges: dict[str, Exchange] = {}
         self.attempts: dict[tuple[str, int], asyncio.Task] = {}
         self.gates: dict[tuple[str, int], SendGate] = {}
@@ -228,7 +228,7 @@
     def record_item(self, item: ev.Event | ev.Effect) -> None:
         """Count an event or effect by COUNTER_NAMES.
 
-        Also pass attempt outcomes to `record_outcome` and response starts to the invariants.
+        Also pass attempt outcomes to `record_outcome`.
         """
         if (
             self.record_outcome
@@ -238,8 +238,6 @@
             endpoint = self.state.fleet.get(request.attempts[item.attempt].server)
             if endpoint is not None:
                 self.record_outcome(endpoint.name, item.status)
-        if type(item) is ev.ResponseStarted:
-            self.invariants.response_started(item.id)
         if name := COUNTER_NAMES.get(type(item)):
             self.pool.counters[name(item)] += 1
 
@@ -320,6 +318,14 @@
 
         return SendGate(is_permitted, time_headers, spend_cold_budget)
 
+    def start_response(self, effect: ev.Forward) -> bool:
+        """Start passing an attempt's response on to its client; return whether that is permitted."""
+        if not self.handle_denial(effect, self.state.response_denial(effect.id, effect.attempt)):
+            return False
+        self.feed(ev.ResponseStarted(effect.id, effect.attempt))
+        self.log_violation(self.invariants.response_started(effect.id), effect.id)
+        return True
+
     def handle_denial(self, effect: ev.Forward | ev.Reserve, denial: Denial | None) -> bool:
         """Log a denial, and end the request of a disconnected client; return whether there was no denial."""
         if denial is None:
--- a/tests/test_late_responses.py
+++ b/tests/test_late_responses.py
@@ -56,15 +56,24 @@
         await asyncio.Event().wait()
 
 
+# Code for the conductor's process: the effect that ends an abandoned attempt fails.
+BREAK_ABANDON = """
+from hoplane.net import runtime
+def fail(self, effect):
+    raise RuntimeError("an internal error")
+runtime.Runtime.abandon = fail
+"""
+
+
 @asynccontextmanager
-async def conductor(tmp_path, write, read=complete_read):
+async def conductor(tmp_path, write, read=complete_read, first=""):
     async with Server(read) as reader, Server(write) as writer, Server(write) as other:
         entries = [
             entry("r1", reader.address, "prefill"),
             entry("w1", writer.address, "decode"),
             entry("w2", other.address, "decode"),
         ]
-        async with platform(tmp_path, entries, settings=SETTINGS_WITHOUT_CANCEL) as program:
+        async with platform(tmp_path, entries, first=first, settings=SETTINGS_WITHOUT_CANCEL) as program:
             program.servers = reader, writer, other
             yield program
 
@@ -73,6 +82,22 @@
     asyncio.run(within(test(), 60))
 
 
+async def fail_late_request(client, cls):
+    """Send the request `late` on a connection, and read its final answer, which comes at its deadline."""
+    reader, writer = client
+    writer.write(chat("late", cls, left=400))
+    assert (await within(read_message(reader)))[0].split()[1] in ("502", "503")
+
+
+async def expect_next_answer(client, cls):
+    """Send the request `next` on the same connection, and check that it gets its own response."""
+    reader, writer = client
+    writer.write(chat("next", cls))
+    first, _, body = await within(read_message(reader))
+    assert first.split()[1] == "200" and body == events("next")
+    writer.close()
+
+
 @pytest.mark.parametrize("breaks_off", [False, True], ids=["whole", "breaks off"])
 @pytest.mark.parametrize("between_requests", [False, True], ids=["during the next request", "before it"])
 @pytest.mark.parametrize("cls", ["lookup", "booking"])
@@ -83,16 +108,27 @@
     async def test():
         respond = LateWriter(breaks_off)
         async with conductor(tmp_path, respond) as program:
-            reader, writer = await program.connect()
-            writer.write(chat("late", cls, left=400))
-            assert (await within(read_message(reader)))[0].split()[1] in ("502", "503")
+            client = await program.connect()
+            await fail_late_request(client, cls)
             if between_requests:
                 respond.respond_late.set()
                 await respond.late_ended.wait()
-            writer.write(chat("next", cls))
-            first, _, body = await within(read_message(reader))
-            assert first.split()[1] == "200" and body == events("next")
-            writer.close()
+            await expect_next_answer(client, cls)
+
+    run(test)
+
+
+@pytest.mark.parametrize("breaks_off", [False, True], ids=["whole", "breaks off"])
+@pytest.mark.parametrize("cls", ["lookup", "booking"])
+def test_response_of_an_attempt_that_outlived_its_request_is_not_passed_on(tmp_path, cls, breaks_off):
+    # Guards against a relay that writes without asking whether its request still waits for a response.
+    async def test():
+        async with conductor(tmp_path, LateWriter(breaks_off), first=BREAK_ABANDON) as program:
+            client = await program.connect()
+            await fail_late_request(client, cls)
+            await expect_next_answer(client, cls)
+            line = await program.line("response_too_late")
+            assert line["request"] == "late" and line["endpoint"] in ("w1", "w2")
 
     run(test)
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -55,6 +55,14 @@
     assert permits.may_close(**{**closable, "served": False, "age": 0.0}) is Denial.CONNECTION_NEW
 
 
+def test_only_a_request_that_waits_gets_a_response():
+    """Not after its final answer, from an attempt that was given up, or beside another response."""
+    waiting = {"ended": False, "abandoned": False, "response_started": False}
+    assert permits.may_respond(**waiting) is None
+    for condition in waiting:
+        assert permits.may_respond(**{**waiting, condition: True}) is Denial.RESPONSE_TOO_LATE
+
+
 def test_invariants_count_late_missing_and_duplicate_answers():
     invariants = Invariants()
     invariants.request_received("a", SECOND)
@@ -63,13 +71,14 @@
     invariants.request_received("b", SECOND)
     assert invariants.final_answer_given("b", SECOND + 2 * MAX_LATENESS) is Violation.ANSWERED_LATE
     invariants.request_received("c", SECOND)
-    invariants.response_started("c")
+    assert invariants.response_started("c") is None
     assert invariants.final_answer_given("c", 100 * SECOND) is None
+    assert invariants.response_started("c") is Violation.ANSWERED_TWICE
     invariants.request_received("d", SECOND)
     invariants.client_disconnected("d")
     assert invariants.handler_ended("d") is None
     invariants.request_received("e", SECOND)
-    assert invariants.handler_ended("e") is Violation.ENDED_UNANSWERED and invariants.total == 3
+    assert invariants.handler_ended("e") is Violation.ENDED_UNANSWERED and invariants.total == 4
 
 
 ENDS = st.sampled_from([status for status in Status if status is not Status.MOOT])
