Give back the memory of a buffered response that is cut off or breaks off

What callers saw: v2 requests whose server has sent a part of its answer at the deadline fail, and the part's bytes stay counted; when the memory for responses is used up, every answer is answer_too_large and its client gets 502 or 503, though the booking has run.

Cause: Relay.read_buffered gave its bytes back where the budget was exceeded and at the request's final answer, but not where reading ended by an exception: a cancel, a broken connection, a malformed chunk.

Change: one release in a finally, for each way out on which no whole body is returned.

--- a/hoplane/net/relay.py
+++ b/hoplane/net/relay.py
@@ -121,14 +121,21 @@
         return Status.OK, data
 
     async def read_buffered(self, response: aiohttp.ClientResponse, sink: Sink) -> bytes | None:
-        """Read a complete response within the memory budget, or return None if it is too large."""
-        data = bytearray()
-        while piece := await response.content.readany():
-            # The bytes of all buffered responses together must not exceed the memory budget.
-            if not self.response_memory.reserve(len(piece)):
+        """Read a complete response within the memory budget, or return None if it is too large.
+
+        Its bytes stay reserved until the request has its final answer; those of an incomplete one do not.
+        """
+        data, complete = bytearray(), False
+        try:
+            while piece := await response.content.readany():
+                # The bytes of all buffered responses together must not exceed the memory budget.
+                if not self.response_memory.reserve(len(piece)):
+                    log.write_event_limited("answer_too_large", read=len(data))
+                    return None
+                data += piece
+            complete = True
+        finally:
+            if not complete:
                 self.response_memory.release(len(data))
-                log.write_event_limited("answer_too_large", read=len(data))
-                return None
-            data += piece
         sink.done.add_done_callback(lambda done: self.response_memory.release(len(data)))
         return bytes(data)
--- a/tests/test_kserve.py
+++ b/tests/test_kserve.py
@@ -9,6 +9,8 @@
 import pytest
 from standins import Server, free_port, message, started, within
 
+from hoplane.config import from_file
+
 ANSWER = b'{"model_name":"desk","outputs":[{"name":"text","shape":[1],"datatype":"BYTES","data":["ok"]}]}'
 ROOT = Path(__file__).parent.parent
 
@@ -225,6 +227,30 @@
     run(test())
 
 
+@pytest.mark.parametrize("cancel", [True, False], ids=["cancel allowed", "cancel not allowed"])
+def test_bodies_cut_off_at_the_deadline_leave_the_memory_for_responses_free(tmp_path, cancel):
+    # Guards against memory that a cut-off body keeps for good: after some of them no response was passed on.
+    memory_bytes = 0
+
+    async def write_much(call, writer):
+        body = ANSWER + b" " * (3 * memory_bytes // 4)
+        data = message("HTTP/1.1 200 OK", body, Content_Type="application/json")
+        if b"cut off" in call[2]:
+            writer.write(data[: memory_bytes // 4])
+            await hang(call, writer)
+        writer.write(data)
+
+    async def test():
+        nonlocal memory_bytes
+        async with Server(write_much) as server, sidecar(tmp_path, server, cancel=cancel) as program:
+            memory_bytes = from_file(program.file).limits.body_bytes
+            for number in range(4):
+                assert await status(program, infer(id=f"cut off {number}", time_left_ms=1000)) == 502
+            assert await status(program, infer(id="whole")) == 200
+
+    run(test())
+
+
 def test_client_disconnect_ends_its_attempt(tmp_path):
     async def test():
         async with Server(hang) as server, sidecar(tmp_path, server) as program:
