End a request that the router refuses while it waits, and free its id with the answer

What callers saw: a v2 booking that waits for a server and is refused (503, "try again later") before its deadline is told 409, "the id is in use or may have run", when it tries again with the same id, until the deadline of the first copy; README promises that an id which certainly never ran may be used again.

A refusal that comes from one of the router's timers (a waiting request with nothing in flight) closes the request, but only the paths of a request's own events call finish_request. It stayed in the state, and its key among the running ones, until the reducer's deadline timer.

Change: after a timer of the router, each request that was answered by it is finished, after all actions of that timer, as a release may follow the refusal.

Evidence: found by looking at the related paths; the new reducer test (the only reader is ejected, then leaves the list; the request is refused 0.25 s after it came, with 3.75 s left) fails before and passes after.

--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -397,7 +397,7 @@
 
     Those of the core are the timer classes above, or tuples: an attempt's timeout, the client's deadline."""
     if isinstance(event.timer, int):
-        yield from run_router(state, now, api.TimerFired(event.timer))
+        yield from on_router_timer_fired(state, now, event.timer)
         return
     if isinstance(event.timer, ReadStateTimer):
         if (request := state.requests.get(event.timer.id)) and request.held_since == event.timer.held_since:
@@ -426,6 +426,17 @@
     yield from finish_request(state, now, id)
 
 
+def on_router_timer_fired(state: ConductorState, now: timedelta, timer: int) -> Iterator[ev.Effect]:
+    """Pass a timer to the router, and finish the requests to which it gives their final answer."""
+    answered = []
+    for effect in run_router(state, now, api.TimerFired(timer)):
+        yield effect
+        if isinstance(effect, ev.Refuse | ev.Fail):
+            answered.append(effect.id)
+    for id in answered:
+        yield from finish_request(state, now, id)
+
+
 def on_endpoints_updated(
     state: ConductorState, now: timedelta, event: ev.EndpointsUpdated
 ) -> Iterator[ev.Effect]:
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -40,15 +40,25 @@
     def __init__(self, **changes):
         settings = replace(SETTINGS, **changes)
         self.state = ConductorState(settings, Router(settings, 1), IdempotencyStore(9, 10 * 60 * SECOND))
-        self.now = 1000 * SECOND
+        self.now, self.router_timers = 1000 * SECOND, []
         fleet = endpoint("r", "reader"), endpoint("w", "writer"), endpoint("w2", "writer")
         self.apply(ev.EndpointsUpdated(fleet, True))
 
     def apply(self, event, after=timedelta()):
         self.now += after
         self.effects = reduce(self.state, self.now, event)
+        self.router_timers += [
+            effect for effect in self.effects_of(ev.SetTimer) if isinstance(effect.timer, int)
+        ]
         return self.effects
 
+    def fire_router_timers_until(self, kind):
+        """Fire the decision module's timers in order, until one of them leads to an effect of a kind."""
+        while not self.effects_of(kind):
+            set_timer = min(self.router_timers, key=lambda each: each.at)
+            self.router_timers.remove(set_timer)
+            self.apply(ev.TimerFired(set_timer.timer), max(timedelta(), set_timer.at - self.now))
+
     def effects_of(self, kind):
         return [effect for effect in self.effects if isinstance(effect, kind)]
 
@@ -303,6 +313,21 @@
     assert harness.effects_of(ev.Forward)
 
 
+def test_key_refused_while_it_waited_for_an_endpoint_may_be_used_again_at_once():
+    # Guards against refused requests that stay in use until their deadline: a retry was told "may have run".
+    patient = api.ClassSettings("once", 3 * 10**9, 4 * 10**9, api.Idempotency.UNSAFE)
+    harness = ReducerHarness(classes=(patient,), reserve_ahead=False)
+    harness.submit("a", "once", idempotency_key="id")
+    harness.apply(ev.AttemptEnded("a", 0, Status.CONNECT_FAILED), 250 * MS)
+    assert not harness.effects_of(ev.Refuse), "it waits for the only reader, which is ejected"
+    harness.apply(ev.EndpointsUpdated((endpoint("r", "reader", State.GONE),), False))
+    harness.fire_router_timers_until(ev.Refuse)
+    assert not harness.state.requests and not harness.state.idempotency_store.running
+    harness.apply(ev.EndpointsUpdated((endpoint("r2", "reader"),), False))
+    harness.submit("b", "once", idempotency_key="id")
+    assert harness.effects_of(ev.Forward), "the key certainly never ran"
+
+
 def test_full_idempotency_store_reports_full_and_evicts_nothing_early():
     store = IdempotencyStore(2, SECOND)
     store.start("a")
