Move the conductor's state and the reducer's timers into modules of their own, with typed timers

The two timers that were bare tuples of an id, an attempt or None, and a time are AttemptTimer and DeadlineTimer, and each kind of timer has a handler of its own in a table, in place of one function with five branches. Tests that looked for the tuples look for the class. Behaviour is as it was.

--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -1,26 +1,23 @@
 """The reducer. All changes to the state of requests, attempts, reservations and the fleet happen here.
 
-Read state is a prompt's KV state at the endpoint that read it; a writer fetches it, or it must be released.
-The router (`decision/router.py`) decides where requests go; the reducer carries its actions out."""
+The state is in `state.py`. The router (`decision/router.py`) decides where requests go; the reducer carries
+its actions out."""
 
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from datetime import timedelta
-from zlib import crc32
 
 from hoplane.core import events as ev
 from hoplane.core import permits
-from hoplane.core.idempotency import IdempotencyStore
-from hoplane.core.invariants import Invariants, Violation
-from hoplane.core.permits import Denial
-from hoplane.core.statistics import Statistics
+from hoplane.core.invariants import Violation
+from hoplane.core.state import Attempt, ConductorState, Request
 from hoplane.core.time_conversion import to_ns, to_timedelta
+from hoplane.core.timers import AttemptTimer, DeadlineTimer, ReadStateTimer, ReservationTimer
 from hoplane.decision import interface as api
 from hoplane.decision.interface import Status
 from hoplane.decision.peer_messages import PeerReport, Symptom
-from hoplane.decision.router import Router
 from hoplane.decision.state import apply_settings
 
 # The endpoint answered, with success or failure.
@@ -30,172 +27,9 @@
 MAY_HAVE_RUN_STATUSES = (Status.OK, Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED)
 # Delay of a release after an interrupted attempt, so that the close of its connection arrives first.
 INTERRUPTED_RELEASE_DELAY = timedelta(milliseconds=15)
-# Limit of the time that read state or a reservation may be held, if the settings give none.
-DEFAULT_HOLD_LIMIT = timedelta(milliseconds=500)
-RELEASE_LEAD = timedelta(milliseconds=100)  # before the limit, for the network and a busy event loop
-# Deducted from the hold limit after a reservation call was answered "unknown" (the endpoint had not received
-# the read): the reservation may have existed for 300 ms when that answer arrives; 100 ms of that are
-# tolerated.
-UNKNOWN_RESERVATION_LEAD = timedelta(milliseconds=200)
 DEADLINE_GRACE = timedelta(milliseconds=5)  # after the deadline, which the router enforces itself
 
 
-@dataclass(slots=True)
-class Attempt:
-    """One attempt of a request at an endpoint, as the core tracks its connection.
-
-    `decision.state.Attempt` has the router's estimates of the same attempt.
-    `response_started`: its first event goes to the client, so the request is bound to it.
-    `ended`: nothing of it is in flight; its connection is idle or closed.
-    `answered`: it has ended with an answer of the endpoint, of success or failure."""
-
-    server: int
-    is_read: bool
-    sent_at: timedelta
-    response_started: bool = False
-    ended: bool = False
-    answered: bool = False
-    abandon_status: Status | None = None  # set when abandoned: its status once the connection is closed
-
-
-@dataclass(slots=True)
-class Request:
-    """A request, from its arrival until its last attempt and reservation call have ended.
-
-    `received` is the event of its arrival; `decision.state.Job` has the router's state of the same request.
-    `response_started`: the client is receiving a response. `closed`: the request has its final answer (for a
-    response, its end) or its client has disconnected, so nothing new is sent for it."""
-
-    received: ev.RequestReceived
-    received_at: timedelta
-    deadline: timedelta
-    max_attempts: int | None = None  # this and the class are from the settings at its arrival
-    class_settings: api.ClassSettings | None = None
-    repeat_until: timedelta | None = None  # end of the window in which endpoints discard duplicates
-    attempts: list[Attempt] = field(default_factory=list)
-    response_started: bool = False
-    closed: bool = False
-    answer_pending: bool = False  # closed because the process ends, and not yet answered
-    pending_reservations: int = 0  # reservation calls in flight
-    interrupted: bool = False  # an attempt or reservation call was cut off; it may still take effect later
-    held_since: timedelta | None = None  # since when read state may be held; None while being released
-    may_have_run: bool = False
-
-    @property
-    def safe_to_refuse(self) -> bool:
-        """Return whether the request may be refused although it may have run.
-
-        True if its class is SAFE, or if all endpoints discard its duplicates. The `repeatable` of
-        `permits.RepeatConditions` is weaker: true for a read, and for any class but UNSAFE."""
-        return self.class_settings is None or self.class_settings.safe_to_refuse
-
-    def has_effect(self, effect: api.Idempotency) -> bool:
-        """Return whether the request's class has this effect."""
-        return self.class_settings is not None and self.class_settings.effect is effect
-
-
-@dataclass(slots=True, frozen=True)
-class ReadStateTimer:
-    """Timer for read state that a request may hold at endpoints: released unless a response has started."""
-
-    id: str
-    held_since: timedelta
-
-
-@dataclass(slots=True, frozen=True)
-class ReservationTimer:
-    """Timer for a reservation that may exist although its read may not have reached the endpoint."""
-
-    id: str
-    attempt: int
-    received_at: timedelta
-
-
-@dataclass
-class ConductorState:
-    """The conductor's state, changed by `reduce` only."""
-
-    settings: api.Settings
-    router: Router
-    idempotency_store: IdempotencyStore
-    requests: dict[str, Request] = field(default_factory=dict)
-    server_ids: dict[str, int] = field(default_factory=dict)  # of the decision module, by endpoint name
-    fleet: dict[int, ev.Endpoint] = field(default_factory=dict)
-    statistics: Statistics = field(default_factory=Statistics)
-    invariants: Invariants = field(default_factory=Invariants)
-
-    def accepts_work(self, endpoint: ev.Endpoint) -> bool:
-        """Return whether an endpoint is listed as accepting new work."""
-        listed = self.fleet.get(self.server_ids.get(endpoint.name))
-        return listed is not None and listed.state is api.State.LIVE
-
-    def send_denial(
-        self,
-        effect: ev.Forward | ev.Reserve,
-        now: timedelta,
-        client_disconnected: bool,
-        deadline: timedelta | None,
-    ) -> Denial | None:
-        """Return why bytes of an attempt or a reservation call may not be sent now, or None if they may."""
-        request, attempt = self.requests.get(effect.id), None
-        if request is not None and effect.attempt < len(request.attempts):
-            attempt = request.attempts[effect.attempt]
-        forward = effect if isinstance(effect, ev.Forward) else None
-        abandoned = attempt is not None and attempt.abandon_status is not None
-        return permits.may_send(
-            permits.SendConditions(
-                now,
-                client_disconnected,
-                request is None or request.closed or request.response_started or abandoned,
-                self.accepts_work(effect.endpoint),
-                deadline,
-                forward and forward.repeat_until,
-                None if forward or attempt is None else not attempt.ended,
-            )
-        )
-
-    def response_denial(self, id: str, index: int) -> Denial | None:
-        """Return why an attempt's response may not be passed on to the client, or None if it may."""
-        request = self.requests.get(id)
-        if request is None:
-            return permits.may_respond(ended=True, abandoned=False, response_started=False)
-        return permits.may_respond(
-            ended=request.closed,
-            abandoned=request.attempts[index].abandon_status is not None,
-            response_started=request.response_started,
-        )
-
-    def response_started(self, id: str) -> bool:
-        """Return whether a request's response has started; endpoints then release its state themselves."""
-        request = self.requests.get(id)
-        return request is not None and request.response_started
-
-    def hold_limit(self) -> timedelta:
-        """Return how long read state may be held before its release starts."""
-        limit_ns = self.settings.release_within
-        limit = DEFAULT_HOLD_LIMIT if limit_ns is None else to_timedelta(limit_ns)
-        return max(limit / 2, limit - RELEASE_LEAD)
-
-    def reservation_release_delay(self) -> timedelta:
-        """Return the time from an answer "unknown" to the release of a reservation that may exist.
-
-        "Unknown" means that the endpoint had not received the read."""
-        limit_ns = self.settings.release_within
-        return max(
-            ev.ZERO,
-            (DEFAULT_HOLD_LIMIT if limit_ns is None else to_timedelta(limit_ns)) - UNKNOWN_RESERVATION_LEAD,
-        )
-
-    def server_id(self, name: str) -> int:
-        """Return an endpoint's id for the hash ring, the same in all conductors."""
-        if name not in self.server_ids:
-            server_id, used_ids = crc32(name.encode()), set(self.server_ids.values())
-            while server_id in used_ids:
-                server_id += 1
-            self.server_ids[name] = server_id
-        return self.server_ids[name]
-
-
 def reduce(state: ConductorState, now: timedelta, event: ev.Event) -> list[ev.Effect]:
     """Apply an event to the state and return the resulting effects in order."""
     return list(iterate_effects(state, now, event))
@@ -251,7 +85,7 @@
     state.requests[event.id] = Request(
         event, now, now + event.time_left, current.max_attempts, class_settings
     )
-    yield ev.SetTimer(now + event.time_left + DEADLINE_GRACE, (event.id, None, now))
+    yield ev.SetTimer(now + event.time_left + DEADLINE_GRACE, DeadlineTimer(event.id, now))
     yield from run_router(
         state,
         now,
@@ -393,37 +227,8 @@
 
 
 def on_timer_fired(state: ConductorState, now: timedelta, event: ev.TimerFired) -> Iterator[ev.Effect]:
-    """Handle a timer of the router (an int), or one of the core.
-
-    Those of the core are the timer classes above, or tuples: an attempt's timeout, the client's deadline."""
-    if isinstance(event.timer, int):
-        yield from on_router_timer_fired(state, now, event.timer)
-        return
-    if isinstance(event.timer, ReadStateTimer):
-        if (request := state.requests.get(event.timer.id)) and request.held_since == event.timer.held_since:
-            yield from release_overdue(state, now, request)
-        return
-    if isinstance(event.timer, ReservationTimer):
-        request = state.requests.get(event.timer.id)
-        still_open = (
-            request is not None and request.received_at == event.timer.received_at and not request.closed
-        )
-        if still_open and not request.attempts[event.timer.attempt].ended:
-            yield build_release(state, request)
-        return
-    id, attempt, received_at = event.timer
-    request = state.requests.get(id)
-    # A timer of an earlier request with the same id must not end this one.
-    if request is None or request.response_started or request.received_at != received_at:
-        return
-    if attempt is not None:
-        yield from abandon(request, attempt, Status.TIMEOUT)
-    elif not request.closed:
-        # The router's own timeouts fire earlier; this one is for a request that it lost track of.
-        for index in range(len(request.attempts)):
-            yield from abandon(request, index, Status.TIMEOUT)
-        yield from fail(state, now, api.Fail(id))
-    yield from finish_request(state, now, id)
+    """Handle a timer of the router or one of the core (`timers.py`)."""
+    yield from TIMER_HANDLERS[type(event.timer)](state, now, event.timer)
 
 
 def on_router_timer_fired(state: ConductorState, now: timedelta, timer: int) -> Iterator[ev.Effect]:
@@ -437,6 +242,54 @@
         yield from finish_request(state, now, id)
 
 
+def on_deadline_passed(state: ConductorState, now: timedelta, timer: DeadlineTimer) -> Iterator[ev.Effect]:
+    """Fail a request at its deadline. The router's own timeouts fire earlier, unless it lost track of it."""
+    request = waiting_request(state, timer)
+    if request is None:
+        return
+    if not request.closed:
+        for index in range(len(request.attempts)):
+            yield from abandon(request, index, Status.TIMEOUT)
+        yield from fail(state, now, api.Fail(timer.id))
+    yield from finish_request(state, now, timer.id)
+
+
+def on_attempt_timed_out(state: ConductorState, now: timedelta, timer: AttemptTimer) -> Iterator[ev.Effect]:
+    """Abandon an attempt whose own timeout has passed."""
+    if request := waiting_request(state, timer):
+        yield from abandon(request, timer.attempt, Status.TIMEOUT)
+        yield from finish_request(state, now, timer.id)
+
+
+def on_read_state_overdue(
+    state: ConductorState, now: timedelta, timer: ReadStateTimer
+) -> Iterator[ev.Effect]:
+    """Release read state, unless it was used or released since the timer was set."""
+    request = state.requests.get(timer.id)
+    if request is not None and request.held_since == timer.held_since:
+        yield from release_overdue(state, now, request)
+
+
+def on_reservation_overdue(
+    state: ConductorState, now: timedelta, timer: ReservationTimer
+) -> Iterator[ev.Effect]:
+    """Release a reservation whose read is still in flight, as it may never have reached its endpoint."""
+    request = state.requests.get(timer.id)
+    if request is None or request.received_at != timer.received_at or request.closed:
+        return
+    if not request.attempts[timer.attempt].ended:
+        yield build_release(state, request)
+
+
+TIMER_HANDLERS: dict[type, Callable[..., Iterable[ev.Effect]]] = {
+    int: on_router_timer_fired,
+    DeadlineTimer: on_deadline_passed,
+    AttemptTimer: on_attempt_timed_out,
+    ReadStateTimer: on_read_state_overdue,
+    ReservationTimer: on_reservation_overdue,
+}
+
+
 def on_endpoints_updated(
     state: ConductorState, now: timedelta, event: ev.EndpointsUpdated
 ) -> Iterator[ev.Effect]:
@@ -551,7 +404,8 @@
         time_left = request.deadline - now
         if action.timeout and (attempt_timeout := to_timedelta(action.timeout)) < time_left:
             time_left = attempt_timeout
-            yield ev.SetTimer(now + attempt_timeout, (action.request_id, index, request.received_at))
+            timer = AttemptTimer(action.request_id, index, request.received_at)
+            yield ev.SetTimer(now + attempt_timeout, timer)
         is_read = role is api.Role.READ
         yield ev.Forward(
             action.request_id,
@@ -637,6 +491,14 @@
 # --- helpers
 
 
+def waiting_request(state: ConductorState, timer: AttemptTimer | DeadlineTimer) -> Request | None:
+    """Return the request that a timer was set for, unless it has ended or its response has started."""
+    request = state.requests.get(timer.id)
+    if request is None or request.response_started or request.received_at != timer.received_at:
+        return None
+    return request
+
+
 def permitted_retry_after(state: ConductorState, delay: timedelta) -> timedelta | None:
     """Return the retry advice of a refusal, or None if the settings forbid any."""
     return delay if state.settings.retry_after else None
--- a/hoplane/net/releases.py
+++ b/hoplane/net/releases.py
@@ -11,7 +11,7 @@
 from hoplane.core import release as releasing
 from hoplane.core.events import Release
 from hoplane.core.invariants import Violation
-from hoplane.core.reducer import ConductorState
+from hoplane.core.state import ConductorState
 from hoplane.core.time_conversion import to_ns
 from hoplane.net.clock import Clock
 from hoplane.net.pool import Pool
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -17,7 +17,8 @@
 from hoplane.core.idempotency import IdempotencyStore
 from hoplane.core.invariants import Invariants, Violation
 from hoplane.core.permits import Denial
-from hoplane.core.reducer import ConductorState, iterate_effects
+from hoplane.core.reducer import iterate_effects
+from hoplane.core.state import ConductorState
 from hoplane.core.statistics import collect
 from hoplane.core.time_conversion import to_ns
 from hoplane.decision.interface import SERVER_NOT_AT_FAULT, Status
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -12,6 +12,7 @@
 from hoplane.core import permits
 from hoplane.core.invariants import MAX_LATENESS, Invariants, Violation
 from hoplane.core.permits import Denial, Phase, RepeatConditions, SendConditions
+from hoplane.core.timers import DeadlineTimer
 from hoplane.decision.interface import State, Status
 
 ZERO, SECOND = timedelta(), timedelta(seconds=1)
@@ -122,11 +123,7 @@
                 self.reservations.append(effect.attempt)
             elif isinstance(effect, ev.Refuse | ev.Fail):
                 self.answers += 1
-            elif (
-                isinstance(effect, ev.SetTimer)
-                and isinstance(effect.timer, tuple)
-                and effect.timer[1] is None
-            ):
+            elif isinstance(effect, ev.SetTimer) and isinstance(effect.timer, DeadlineTimer):
                 self.deadline = effect
 
     def step(self, kind, which, status, wait):
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -8,8 +8,10 @@
 
 from hoplane.core import events as ev
 from hoplane.core.idempotency import IdempotencyStore
-from hoplane.core.reducer import ConductorState, ReadStateTimer, reduce
+from hoplane.core.reducer import reduce
+from hoplane.core.state import ConductorState
 from hoplane.core.time_conversion import to_ns, to_timedelta
+from hoplane.core.timers import DeadlineTimer, ReadStateTimer
 from hoplane.decision import interface as api
 from hoplane.decision.interface import State, Status
 from hoplane.decision.router import Router
@@ -66,9 +68,9 @@
         return self.apply(ev.RequestReceived(id, cls, 2000, 100, 4 * SECOND, session="s", **more), after)
 
     def deadline_timer(self):
-        """Return the core's deadline timer of the last request; the decision module's timers are numbers."""
+        """Return the core's deadline timer of the last request."""
         (set_timer,) = (
-            effect for effect in self.effects_of(ev.SetTimer) if not isinstance(effect.timer, int)
+            effect for effect in self.effects_of(ev.SetTimer) if isinstance(effect.timer, DeadlineTimer)
         )
         return set_timer
 
@@ -348,7 +350,7 @@
 
 
 def test_two_endpoint_names_never_share_an_id(harness, monkeypatch):
-    monkeypatch.setattr("hoplane.core.reducer.crc32", lambda data: 7)
+    monkeypatch.setattr("hoplane.core.state.crc32", lambda data: 7)
     assert {harness.state.server_id(name) for name in ("a", "b", "c")} == {7, 8, 9}
 
 
--- a/tests/test_second_deployment.py
+++ b/tests/test_second_deployment.py
@@ -9,7 +9,9 @@
 
 from hoplane.core import events as ev
 from hoplane.core.idempotency import IdempotencyStore
-from hoplane.core.reducer import ConductorState, reduce
+from hoplane.core.reducer import reduce
+from hoplane.core.state import ConductorState
+from hoplane.core.timers import DeadlineTimer
 from hoplane.decision import interface as api
 from hoplane.decision.router import Router
 from hoplane.fronts.platform import parse_request
@@ -61,7 +63,7 @@
     state = conductor(retry_after=allowed)
     reduce(state, ev.timedelta(seconds=1), ev.EndpointsUpdated((), True))
     effects = [e for e in submit(state) if isinstance(e, ev.Refuse)]
-    due = ev.TimerFired(("r1", None, ev.timedelta(seconds=1)))
+    due = ev.TimerFired(DeadlineTimer("r1", ev.timedelta(seconds=1)))
     effects += reduce(state, ev.timedelta(seconds=5), due)
     refused = [e for e in effects if isinstance(e, ev.Refuse)]
     assert refused and all((e.retry_after is not None) is allowed for e in refused)
