Give tests ports that no other socket can take, and show how a conductor ended

The traceback's text was not kept: Program.line raised a JSONDecodeError at its first line.

Cause, by the place of the end and by a probe, not by that text: free_port took a port of the system's ephemeral range and gave it back, and until the conductor bound it, half a second later, any socket bound to port 0 (servers of the ten cases that start side by side) could get it. The probe: of 4,000 ports so taken, 8 were in use after 30 other binds to port 0 (EADDRINUSE); connects alone took 0 of 3,000.

Change: free_port draws each port once from 10,000 to 31,999, below that range, and still checks that it is free. Program.line fails with all that the process wrote if a line is no log line. Not a check is changed.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -7,6 +7,7 @@
 import socket
 import sys
 from contextlib import asynccontextmanager, suppress
+from random import SystemRandom
 
 WAIT_LIMIT_S = 20  # for any single wait in a test
 
@@ -15,10 +16,18 @@
     return asyncio.wait_for(awaitable, seconds)
 
 
+# Each port once, in random order. They lie below the range from which the system takes the ports of outgoing
+# connections and of sockets bound to port 0, so none of these can take one before it is used.
+PORTS = iter(SystemRandom().sample(range(10_000, 32_000), 22_000))
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port that is free now, and that no other test of this run gets."""
+    for port in PORTS:
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
+    raise RuntimeError("no free port is left")
 
 
 async def read_message(reader, on_start_line=lambda first: None):
@@ -193,6 +202,9 @@
             raw = await within(self.process.stderr.readline())
             assert raw, f"the conductor ended before it logged {event}: {self.log}"
             print(raw.decode(), end="")
+            if not raw.startswith(b"{"):
+                rest = await within(self.process.stderr.read())
+                raise AssertionError(f"the conductor wrote no log line: {(raw + rest).decode()}")
             self.log.append(json.loads(raw))
             if self.log[-1]["event"] == event:
                 return self.log[-1]
