Type the result of passing a response on, and tidy the reservation call

Relay returned bare tuples of a status and bytes; RelayResult names them. run_reservation takes one step a line, and its table of HTTP statuses has a name. No behaviour is changed.

--- a/hoplane/net/relay.py
+++ b/hoplane/net/relay.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import dataclass
 from datetime import timedelta
 
 import aiohttp
@@ -35,6 +36,14 @@
     return Status.ERROR
 
 
+@dataclass(slots=True, frozen=True)
+class RelayResult:
+    """How passing a response on ended; `tail` is the end of its data, which contains the load report."""
+
+    status: Status
+    tail: bytes = b""
+
+
 async def read_short_response(response: aiohttp.ClientResponse) -> bytes | None:
     """Read a response that is not a stream; return None if it cannot be read to its end."""
     data = b""
@@ -56,7 +65,9 @@
     def __init__(self, response_memory: MemoryBudget, start_response: Callable[[ev.Forward], bool]) -> None:
         self.response_memory, self.start_response = response_memory, start_response
 
-    async def relay(self, effect: ev.Forward, exchange: Exchange, response: aiohttp.ClientResponse):
+    async def relay(
+        self, effect: ev.Forward, exchange: Exchange, response: aiohttp.ClientResponse
+    ) -> RelayResult:
         """Pass a stream on event by event; once an event was sent, a failure also breaks the client's stream.
 
         An event is sent only when it is complete, so that no part of a malformed one is passed on.
@@ -78,7 +89,7 @@
                     continue
                 if not began:
                     if not self.start_response(effect):
-                        return Status.CANCELLED, b""
+                        return RelayResult(Status.CANCELLED)
                     began = True
                     await sink.start()
                 tail = (tail + data)[-TAIL_BYTES:]
@@ -94,31 +105,33 @@
             if began:
                 sink.abort()
             if isinstance(error, MalformedResponseError | ValueError):
-                return log_malformed(effect, error), tail
+                return RelayResult(log_malformed(effect, error), tail)
             if not isinstance(error, aiohttp.ClientError | OSError | TimeoutError):
                 log.write_event("relay_broke", error=repr(error))
-            return Status.RESET, tail
+            return RelayResult(Status.RESET, tail)
         await sink.finish()
-        return Status.OK, tail
+        return RelayResult(Status.OK, tail)
 
-    async def relay_buffered(self, effect: ev.Forward, sink: Sink, response: aiohttp.ClientResponse):
+    async def relay_buffered(
+        self, effect: ev.Forward, sink: Sink, response: aiohttp.ClientResponse
+    ) -> RelayResult:
         """Pass a response on once it is complete."""
         try:
             data = await self.read_buffered(response, sink)
         except MalformedResponseError as error:
-            return log_malformed(effect, error), b""
+            return RelayResult(log_malformed(effect, error))
         except (aiohttp.ClientError, OSError, TimeoutError, RuntimeError):
-            return Status.RESET, b""
+            return RelayResult(Status.RESET)
         if data is None:
-            return Status.ERROR, b""
+            return RelayResult(Status.ERROR)
         if not sink.is_complete(data):
-            return Status.RESET, b""
+            return RelayResult(Status.RESET)
         if not self.start_response(effect):
-            return Status.CANCELLED, b""
+            return RelayResult(Status.CANCELLED)
         await sink.start()
         await sink.write(data)
         await sink.finish()
-        return Status.OK, data
+        return RelayResult(Status.OK, data)
 
     async def read_buffered(self, response: aiohttp.ClientResponse, sink: Sink) -> bytes | None:
         """Read a complete response within the memory budget, or return None if it is too large.
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -38,6 +38,7 @@
 PROBE_TIMEOUT = timedelta(milliseconds=300)
 # An endpoint that knows no read for the reservation answers after 0.3 s.
 RESERVATION_TIMEOUT = timedelta(seconds=1)
+RESERVED_BY_HTTP_STATUS = {200: True, 409: False}  # after any other status, a place may be held or not
 # A request is answered this long after its deadline even if an internal error lost its answer.
 OVERDUE_GRACE = timedelta(milliseconds=250)
 
@@ -417,10 +418,10 @@
                 if complete:
                     head = exchange.read_head(response.status, response.headers, body)
                 return ended(head.status, head.detail, head.load)
-            status, tail = await self.relay.relay(effect, exchange, response)
-            complete = status is Status.OK
-            detail, load = exchange.read_tail(tail)
-            return ended(status, detail, {**head.load, **load})
+            result = await self.relay.relay(effect, exchange, response)
+            complete = result.status is Status.OK
+            detail, load = exchange.read_tail(result.tail)
+            return ended(result.status, detail, {**head.load, **load})
         finally:
             if complete and response.content.at_eof():
                 response.release()
@@ -433,13 +434,12 @@
         Before, no endpoint knows of the read. A reservation that is requested or confirmed after the read's
         end would go unused, and with a lost response it would not be released in time.
         """
-        # If no call is sent, nothing is reserved.
-        key, reserved, unanswered = (effect.id, effect.attempt), False, False
-        gate, read_task, path = (
-            self.make_gate(effect),
-            self.attempts.get(key),
-            self.reservation_path(effect.id),
-        )
+        key = effect.id, effect.attempt
+        gate = self.make_gate(effect)
+        read_task = self.attempts.get(key)
+        path = self.reservation_path(effect.id)
+        reserved: bool | None = False  # if no call is sent, nothing is reserved
+        unanswered = False
         try:
             if read_task and path:
                 await self.gates[key].wait()
@@ -449,10 +449,8 @@
                 )
                 await asyncio.wait({call, read_task}, return_when=asyncio.FIRST_COMPLETED)
                 if call.done() and gate.is_set():
-                    reserved, unanswered = (
-                        {200: True, 409: False}.get(call.result()),
-                        call.result() is None,
-                    )
+                    reserved = RESERVED_BY_HTTP_STATUS.get(call.result())
+                    unanswered = call.result() is None
                 elif gate.is_set():
                     reserved = None
                 # The read has ended, so the call is reset: it must not arrive after the release.
--- a/tests/test_runtime.py
+++ b/tests/test_runtime.py
@@ -43,6 +43,17 @@
     return runtime
 
 
+def fake_exchange(call, answered):
+    """Return an exchange that sends `call` for each attempt, and sets `answered` at the final answer."""
+    return SimpleNamespace(
+        disconnected=False,
+        call=lambda forward: call,
+        time_headers=lambda left: {},
+        refuse=lambda pause: answered.set(),
+        fail=lambda clash: answered.set(),
+    )
+
+
 def test_an_attempt_cancelled_before_its_first_step_still_ends():
     async def test():
         async with Server(accept_release) as reader, Server(accept_release) as writer:
@@ -160,13 +171,7 @@
                 assert await asyncio.gather(*calls) == [204] * 3
             call = Call("POST", "/v1/chat/completions", {}, b"{}")
             answered = asyncio.Event()
-            runtime.exchanges["q"] = SimpleNamespace(
-                disconnected=False,
-                call=lambda forward: call,
-                time_headers=lambda left: {},
-                refuse=lambda pause: answered.set(),
-                fail=lambda clash: answered.set(),
-            )
+            runtime.exchanges["q"] = fake_exchange(call, answered)
             runtime.feed(RequestReceived("q", "lookup", 100, 20, timedelta(seconds=0.8), session="s"))
             await within(answered.wait())
             assert pool.connector.close_idle(reader.address) == 0, "no idle connection is left to wait on"
@@ -200,13 +205,7 @@
             assert await pool.call("DELETE", reader.address, "/v1/holds/b", timedelta(seconds=5)) is None
             assert pool.connector.keepalive_enabled, "a single one may have been closed as idle"
             call, answered = Call("POST", "/v1/chat/completions", {}, b"{}"), asyncio.Event()
-            runtime.exchanges["q"] = SimpleNamespace(
-                disconnected=False,
-                call=lambda forward: call,
-                time_headers=lambda left: {},
-                refuse=lambda pause: answered.set(),
-                fail=lambda clash: answered.set(),
-            )
+            runtime.exchanges["q"] = fake_exchange(call, answered)
             runtime.feed(RequestReceived("q", "lookup", 100, 20, timedelta(seconds=3), session="s"))
             await within(answered.wait())
             await within(runtime.wait_idle())
