--- a/review/9/case.py
+++ b/review/9/case.py
@@ -27,8 +27,8 @@
     write_v2_files,
 )
 
-SIZE = 20 << 20  # bytes of the answer's tensor
-READ_RATE = 4 << 20  # bytes a second that the client's link carries
+SIZE = 22 << 20  # bytes of the answer's tensor
+READ_RATE = 3 << 20  # bytes a second that the client's link carries
 RECEIVE_BUFFER = 128 << 10
 SIGTERM_AT = 0.5  # seconds after the first byte of the answer
 SIGKILL_AFTER = 10  # seconds after SIGTERM; no less than the longest deadline (3 s at most) and 0.7 s
