--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,13 +1,12 @@
-"""A planned restart cuts off an answer that a v2 client is still reading, long before SIGKILL."""
+"""A holder of the lease that is told to end gives it away while its action still runs at an endpoint."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import signal
-import socket
 import sys
 import time
+from dataclasses import dataclass
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
@@ -15,108 +14,118 @@
 from second import (  # noqa: E402
     BROKEN,
     HELD,
+    ROOT,
     TROUBLE,
     NotRunError,
+    Program,
     Record,
     Server,
-    build_inference,
     build_message,
     free_address,
+    free_port,
     run_case,
     start,
+    until,
     write_v2_files,
 )
 
-SIZE = 22 << 20  # bytes of the answer's tensor
-READ_RATE = 3 << 20  # bytes a second that the client's link carries
-RECEIVE_BUFFER = 128 << 10
-SIGTERM_AT = 0.5  # seconds after the first byte of the answer
-SIGKILL_AFTER = 10  # seconds after SIGTERM; no less than the longest deadline (3 s at most) and 0.7 s
-
-
-async def read_slowly(record: Record, address: str, data: bytes, program) -> bytes:
-    """Send a request and read its answer as a link of `READ_RATE` delivers it, up to the connection's end."""
-    loop, host, port = asyncio.get_running_loop(), *address.split(":")
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-    sock.setblocking(False)
-    received, told, started_at = bytearray(), False, 0.0
-    try:
-        await loop.sock_connect(sock, (host, int(port)))
-        await loop.sock_sendall(sock, data)
-        while piece := await asyncio.wait_for(loop.sock_recv(sock, RECEIVE_BUFFER), 20):
-            started_at = started_at or time.monotonic()
-            received += piece
-            if TROUBLE and not told and time.monotonic() - started_at > SIGTERM_AT:
-                told = True
-                record(f"client has read {len(received)} bytes")
-                program.signal(signal.SIGTERM)
-                loop.call_later(SIGKILL_AFTER, end_process, program)
-            end = received.find(b"\r\n\r\n")
-            if end >= 0 and len(received) >= end + 4 + content_length(received[:end]):
-                break
-            due = started_at + len(received) / READ_RATE
-            await asyncio.sleep(max(0.0, due - time.monotonic()))
-    except OSError as error:
-        record(f"client's connection broke: {error!r}")
-    finally:
-        sock.close()
-    record(f"client has read {len(received)} bytes, {time.monotonic() - started_at:.3f} s after the first")
-    return bytes(received)
-
-
-def end_process(program) -> None:
-    """Kill the program if it has not ended by itself."""
-    if program.process.returncode is None:
-        program.signal(signal.SIGKILL)
-
-
-def content_length(head: bytes) -> int:
-    """Return the length that an answer's head tells."""
-    for line in head.split(b"\r\n"):
-        name, _, value = line.partition(b":")
-        if name.lower() == b"content-length":
-            return int(value)
-    raise NotRunError("the answer has no length")
+sys.path.insert(0, str(ROOT))
+
+from hoplane.lab.etcd_stub import EtcdStub  # noqa: E402
+
+ENDPOINTS = 3
+ACTION_TIME = 0.35  # seconds that an endpoint takes for an action; act_ms, its bound, is 500
+ROUNDS = 3  # planned restarts, one conductor after the other
+SIGTERM_AT = 0.1  # seconds after the start of an action
+
+
+@dataclass
+class Action:
+    """An action under the lease, as its endpoint saw it."""
+
+    holder: str
+    token: int
+    started: float
+    ended: float = float("inf")
 
 
 async def case(record: Record, scratch: Path) -> int:
-    """Book; the answer is whole at the conductor when SIGTERM arrives, and on its way to the client."""
-    output = {"name": "plan", "shape": [SIZE], "datatype": "UINT8", "parameters": {"binary_data_size": SIZE}}
-    document = json.dumps({"model_name": "desk", "outputs": [output]}).encode()
-
-    async def infer(call: tuple, writer: asyncio.StreamWriter) -> None:
-        record(f"run {json.loads(call[2])['id']}")
-        writer.write(
-            build_message(
-                "HTTP/1.1 200 OK",
-                document + bytes(SIZE),
-                Content_Type="application/octet-stream",
-                Inference_Header_Content_Length=len(document),
-            )
+    """Restart the holder of the lease as planned, and compare the actions of the two conductors."""
+    actions: list[Action] = []
+
+    def act_at(name: str):
+        async def act(call: tuple, writer: asyncio.StreamWriter) -> None:
+            token = call[1].get("x-fencing-token")
+            if token is None:
+                writer.write(build_message("HTTP/1.1 200 OK", b"{}"))
+                return
+            action = Action(call[1]["x-holder"], int(token), time.monotonic())
+            actions.append(action)
+            record(f"an action of {action.holder} begins at {name}, token {action.token}")
+            await asyncio.sleep(ACTION_TIME)  # it runs to its end, also if its caller has gone
+            action.ended = time.monotonic()
+            record(f"an action of {action.holder} ends at {name}")
+            writer.write(build_message("HTTP/1.1 200 OK", b"{}"))
+
+        return act
+
+    servers = [await Server(act_at(f"m{n}")).start() for n in range(ENDPOINTS)]
+    endpoints = [{"name": f"m{n}", "address": each.address} for n, each in enumerate(servers)]
+    programs: dict[str, Program] = {}
+    async with EtcdStub(free_port()) as etcd:
+        files = {}
+        for name in ("east", "west"):
+            (scratch / name).mkdir()
+            lease = f'\n[lease]\nengine = ["{etcd.address}"]\n'
+            changes = {'name = "sidecar"': f'name = "{name}"'}
+            files[name] = write_v2_files(scratch / name, free_address(), endpoints, changes, lease)
+        try:
+            for name, file in files.items():
+                programs[name] = await start(record, scratch, str(file))
+                await programs[name].wait_for("started")
+            for _ in range(ROUNDS):
+                await restart_holder(record, scratch, actions, programs, files)
+        finally:
+            for program in programs.values():
+                await program.end()
+    overlaps = [
+        (first, second)
+        for first in actions
+        for second in actions
+        if first.token < second.token and second.started < first.ended
+    ]
+    for first, second in overlaps:
+        record(
+            f"{second.holder} (token {second.token}) acts {first.ended - second.started:.3f} s before "
+            f"the action of {first.holder} (token {first.token}) has ended"
         )
-        await writer.drain()
-        record("its server has written the whole answer")
-
-    server, address = await Server(infer).start(), free_address()
-    file = write_v2_files(scratch, address, [{"name": "m0", "address": server.address}])
-    program = await start(record, scratch, str(file))
-    try:
-        await program.wait_for("started")
-        await asyncio.sleep(1)
-        record("client sends the booking b0")
-        answer = await read_slowly(record, address, build_inference("b0", "booking"), program)
-        if TROUBLE:
-            await asyncio.wait_for(program.process.wait(), SIGKILL_AFTER + 5)
-            record(f"the conductor has ended with the status {program.process.returncode}")
-    finally:
-        await program.end()
-    head, _, body = answer.partition(b"\r\n\r\n")
-    if not server.calls:
-        raise NotRunError("the booking was not sent")
-    first = head.split(b"\r\n")[0].decode()
-    record(f"the answer's head: {first}; body: {len(body)} of {content_length(head)}")
-    return HELD if len(body) == content_length(head) else BROKEN
+    if len({action.token for action in actions}) < (2 if TROUBLE else 1):
+        raise NotRunError("the lease had no second holder")
+    return BROKEN if overlaps else HELD
+
+
+async def restart_holder(
+    record: Record,
+    scratch: Path,
+    actions: list[Action],
+    programs: dict[str, Program],
+    files: dict[str, Path],
+) -> None:
+    """Wait until an action has begun; tell its conductor to end, and start it again once it has ended."""
+    count = len(actions)
+    if not await until(lambda: len(actions) > count, 10):
+        raise NotRunError("no action began")
+    await asyncio.sleep(SIGTERM_AT)
+    if not TROUBLE:
+        await asyncio.sleep(4)
+        return
+    name = actions[-1].holder
+    programs[name].signal(signal.SIGTERM)
+    await asyncio.wait_for(programs[name].process.wait(), 15)
+    record(f"{name} has ended with the status {programs[name].process.returncode}")
+    await asyncio.sleep(2)
+    programs[name] = await start(record, scratch, str(files[name]))
+    await programs[name].wait_for("started")
 
 
 run_case(Path(__file__).resolve().parent, case)
