Recall an unanswered repeat at the end of its window

Cause: `permits.may_send` checks the window as bytes are handed to the system. Nothing looked at it afterwards; an unanswered attempt at a writer ended with its answer or the deadline only.

Change: `permits.response_due` is the first of the deadline, the attempt's own timeout and the window's end; the reducer sets its timer there and abandons an attempt without a response, which resets its connection. A reset discards what has not arrived. The endpoint is told this time as the time left. `repeat_outlived_window` is a run-time check of it.

Same class, on related paths: the group of a repeat was checked as its endpoint was chosen and never again, and against the newest list entry of the first endpoint instead of the one at its sending.

--- a/hoplane/core/invariants.py
+++ b/hoplane/core/invariants.py
@@ -11,12 +11,15 @@
 from enum import Enum
 
 MAX_LATENESS = timedelta(milliseconds=500)  # after its deadline an answer is useless, but no violation
+# Time after the end of its window within which the event loop must have recalled an unanswered repeat.
+RECALL_TOLERANCE = timedelta(milliseconds=500)
 
 
 class Violation(Enum):
     """An invariant that was violated."""
 
     RUN_TWICE = "run_twice"
+    REPEAT_OUTLIVED_WINDOW = "repeat_outlived_window"
     ANSWERED_TWICE = "answered_twice"
     ANSWERED_LATE = "answered_late"
     ENDED_UNANSWERED = "ended_unanswered"
@@ -68,6 +71,15 @@
         self.deadlines[id] = timedelta.max - MAX_LATENESS
         return None
 
+    def attempt_ended_unanswered(self, repeat_until: timedelta | None, now: timedelta) -> Violation | None:
+        """Record an attempt's end without an answer; check that a repeat was not in flight after its window.
+
+        `repeat_until`: end of the window in which endpoints discard the attempt as a duplicate, or None.
+        Returns the violation, if any."""
+        if repeat_until is None or now <= repeat_until + RECALL_TOLERANCE:
+            return None
+        return self.record(Violation.REPEAT_OUTLIVED_WINDOW)
+
     def client_disconnected(self, id: str) -> None:
         """Record a client's disconnect: its request needs no answer."""
         self.deadlines.pop(id, None)
--- a/hoplane/core/permits.py
+++ b/hoplane/core/permits.py
@@ -6,7 +6,8 @@
 which the caller logs and counts.
 
 Two facts of TCP matter here. Bytes handed to the system have not arrived yet, and closing a connection
-doesn't recall them; only a reset does (`net/pool.py`). So an abandoned attempt is reset."""
+doesn't recall them; only a reset does (`net/pool.py`). So an abandoned attempt is reset, and what may not
+arrive after some time must be abandoned by then (`response_due`)."""
 
 from __future__ import annotations
 
@@ -103,6 +104,20 @@
     return Denial.NOT_REPEATABLE if conditions.may_have_run and not conditions.repeatable else None
 
 
+def response_due(
+    *, deadline: timedelta, timeout_at: timedelta | None, repeat_until: timedelta | None
+) -> timedelta:
+    """Return until when an attempt may wait for its response; it is abandoned then.
+
+    Until its response starts nothing shows that an attempt has arrived. A repeat that is still on its way
+    when its window ends would run again on arrival, so it is recalled at that moment.
+
+    `deadline`: of the request. `timeout_at`: of the attempt, or None.
+    `repeat_until`: end of the window in which endpoints discard this attempt as a duplicate, or None."""
+    limits = (deadline, timeout_at, repeat_until)
+    return min(limit for limit in limits if limit is not None)
+
+
 def may_respond(*, ended: bool, abandoned: bool, response_started: bool) -> Denial | None:
     """Check whether a response that an endpoint has begun may be passed on to the client.
 
--- a/hoplane/core/reducer.py
+++ b/hoplane/core/reducer.py
@@ -161,6 +161,8 @@
         yield from abandon_without_response(request)
     if status in MAY_HAVE_RUN_STATUSES:
         request.interrupted = True
+    if not attempt.answered and not attempt.response_started:
+        state.invariants.attempt_ended_unanswered(attempt.repeat_until, now)
     if not attempt.is_read and status in MAY_HAVE_RUN_STATUSES:
         if request.may_have_run and request.has_effect(api.Idempotency.UNSAFE):
             state.invariants.record(Violation.RUN_TWICE)
@@ -255,7 +257,7 @@
 
 
 def on_attempt_timed_out(state: ConductorState, now: timedelta, timer: AttemptTimer) -> Iterator[ev.Effect]:
-    """Abandon an attempt whose own timeout has passed."""
+    """Abandon an attempt whose response is due (`permits.response_due`)."""
     if request := waiting_request(state, timer):
         yield from abandon(request, timer.attempt, Status.TIMEOUT)
         yield from finish_request(state, now, timer.id)
@@ -387,34 +389,38 @@
         return []
     index, max_attempts = len(request.attempts), request.max_attempts
     role = next((k.role for k in state.settings.kinds if endpoint and k.name == endpoint.kind), None)
-    request.attempts.append(Attempt(action.server, role is api.Role.READ, now))
+    is_read = role is api.Role.READ
+    repeat_until = None if is_read else request.repeat_until
+    request.attempts.append(Attempt(action.server, is_read, now, repeat_until))
     denial = permits.may_repeat(
         permits.RepeatConditions(
-            role is api.Role.READ or request.safe_to_refuse or not request.has_effect(api.Idempotency.UNSAFE),
+            is_read or request.safe_to_refuse or not request.has_effect(api.Idempotency.UNSAFE),
             request.may_have_run,
             index,
             max_attempts or None,
         )
     )
-    if denial is not None or request.closed or request.response_started or now >= request.deadline:
+    response_due = permits.response_due(
+        deadline=request.deadline,
+        timeout_at=now + to_timedelta(action.timeout) if action.timeout else None,
+        repeat_until=repeat_until,
+    )
+    if denial is not None or request.closed or request.response_started or now >= response_due:
         status = Status.MOOT
     elif endpoint is None:
         status = Status.CONNECT_FAILED
     else:
-        time_left = request.deadline - now
-        if action.timeout and (attempt_timeout := to_timedelta(action.timeout)) < time_left:
-            time_left = attempt_timeout
+        if response_due < request.deadline:
             timer = AttemptTimer(action.request_id, index, request.received_at)
-            yield ev.SetTimer(now + attempt_timeout, timer)
-        is_read = role is api.Role.READ
+            yield ev.SetTimer(response_due, timer)
         yield ev.Forward(
             action.request_id,
             index,
             endpoint,
-            time_left,
+            response_due - now,
             is_read,
             not is_read and request.has_effect(api.Idempotency.UNSAFE),
-            None if is_read else request.repeat_until,
+            repeat_until,
         )
         return []
     request.attempts[index].ended = True
--- a/hoplane/core/state.py
+++ b/hoplane/core/state.py
@@ -40,6 +40,7 @@
     server: int
     is_read: bool
     sent_at: timedelta
+    repeat_until: timedelta | None = None  # end of the window in which endpoints discard it as a duplicate
     response_started: bool = False
     ended: bool = False
     answered: bool = False
@@ -96,9 +97,13 @@
     invariants: Invariants = field(default_factory=Invariants)
 
     def accepts_work(self, endpoint: ev.Endpoint) -> bool:
-        """Return whether an endpoint is listed as accepting new work."""
+        """Return whether an endpoint is still listed as it was chosen, and as accepting new work.
+
+        One that is listed in another zone or cell by now may not discard a repeat that was chosen for it."""
         listed = self.fleet.get(self.server_ids.get(endpoint.name))
-        return listed is not None and listed.state is api.State.LIVE
+        if listed is None or listed.state is not api.State.LIVE:
+            return False
+        return (listed.address, listed.zone, listed.cell) == (endpoint.address, endpoint.zone, endpoint.cell)
 
     def send_denial(
         self,
--- a/hoplane/core/timers.py
+++ b/hoplane/core/timers.py
@@ -19,7 +19,7 @@
 
 @dataclass(slots=True, frozen=True)
 class AttemptTimer:
-    """Timer for an attempt's own timeout, which ends before the client's deadline."""
+    """Timer for an attempt whose response is due before the client's deadline (`permits.response_due`)."""
 
     id: str
     attempt: int
--- a/hoplane/decision/router.py
+++ b/hoplane/decision/router.py
@@ -663,7 +663,7 @@
             cls.group
         ]
         return server is None or all(
-            group_key(a.server.entry) == group_key(server.entry) for a in may_have_run
+            group_key(attempt.entry) == group_key(server.entry) for attempt in may_have_run
         )
 
     def send(self, job: Job, server: Server, is_read: bool) -> bool:
--- a/hoplane/decision/state.py
+++ b/hoplane/decision/state.py
@@ -188,6 +188,11 @@
     finished: bool = False
     may_have_run: bool = False
     failed: bool = False  # other servers are tried first for the next attempt
+    # The server's list entry at the time of the send; later lists may show the server in another group.
+    entry: ServerEntry = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.entry = self.server.entry
 
     @property
     def presumed_lost(self) -> bool:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -10,7 +10,7 @@
 
 from hoplane.core import events as ev
 from hoplane.core import permits
-from hoplane.core.invariants import MAX_LATENESS, Invariants, Violation
+from hoplane.core.invariants import MAX_LATENESS, RECALL_TOLERANCE, Invariants, Violation
 from hoplane.core.permits import Denial, Phase, RepeatConditions, SendConditions
 from hoplane.core.timers import DeadlineTimer
 from hoplane.decision.interface import State, Status
@@ -64,6 +64,24 @@
         assert permits.may_respond(**{**waiting, condition: True}) is Denial.RESPONSE_TOO_LATE
 
 
+@pytest.mark.parametrize(
+    "timeout_at, repeat_until, due",
+    [(None, None, 5), (3, None, 3), (None, 2, 2), (3, 2, 2), (1, 2, 1), (7, 6, 5)],
+)
+def test_response_is_due_at_the_first_limit(timeout_at, repeat_until, due):
+    limits = {"deadline": 5, "timeout_at": timeout_at, "repeat_until": repeat_until}
+    in_seconds = {name: None if value is None else timedelta(seconds=value) for name, value in limits.items()}
+    assert permits.response_due(**in_seconds) == timedelta(seconds=due)
+
+
+def test_unanswered_repeat_that_outlives_its_window_is_a_violation():
+    invariants = Invariants()
+    assert invariants.attempt_ended_unanswered(None, SECOND) is None
+    assert invariants.attempt_ended_unanswered(ZERO, RECALL_TOLERANCE) is None
+    violation = invariants.attempt_ended_unanswered(ZERO, RECALL_TOLERANCE + timedelta.resolution)
+    assert violation is Violation.REPEAT_OUTLIVED_WINDOW and invariants.total == 1
+
+
 def test_invariants_count_late_missing_and_duplicate_answers():
     invariants = Invariants()
     invariants.request_received("a", SECOND)
