Require a class's group, and compare the items of lists at a reload

Cause: `check_no_key_missing` returned at the first list, so no key of a class was compared; and the default of the group is the value that permits most, also at a start, for a class that a reload adds, and for null. Evidence: the same file without `allowed.cancel` is rejected; without `group` it is logged as `reloaded`.

Change: `hoplane/raw_settings.py` (the checks of the parsed file, moved out of config.py) compares classes and tenants by name, counts a value that was emptied as missing, and requires `group` of a `token` class at every load. In the decision module the default group is the narrowest. Same class: one tenant that is no object dropped all quotas, a quota of 0 (`or inf`) was unlimited, a negative one failed each request, misspelled keys of a TOML file were ignored; limits that may be absent are listed by `check` and in the log line `limits_unset`.

tests/test_adapter.py: the test of the defaults gives `group=all` in its settings and relied on the default for it in what it expects; the expected value now says so.

--- a/hoplane/conductor.py
+++ b/hoplane/conductor.py
@@ -29,6 +29,7 @@
 from hoplane.net.handover import Handover
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
+from hoplane.raw_settings import unset_limits
 
 if TYPE_CHECKING:
     from hoplane import xds
@@ -164,6 +165,12 @@
         reloaded = {name: getattr(new, name) for name in configuration.RELOADABLE_FIELDS}
         self.config = replace(self.config, raw=new.raw, **reloaded)
         log.write_event("reloaded", watch=str(watch), at_next_start=needs_restart)
+        self.log_unset_limits()
+
+    def log_unset_limits(self) -> None:
+        """Log the limits that the settings leave unset, as their defaults limit nothing."""
+        if unset := unset_limits(self.config.raw["settings"]):
+            log.write_event("limits_unset", settings=unset)
 
     def reload_later(self, error: TransientReadError) -> None:
         """Schedule another reload, because the file could not be read."""
@@ -203,6 +210,7 @@
         log.write_event(
             "started", name=self.config.name, listen="{}:{}".format(*self.config.listen), pid=os.getpid()
         )
+        self.log_unset_limits()
         background_tasks = [
             asyncio.create_task(self.collect_garbage()),
             asyncio.create_task(self.pool.counters.log_regularly()),
--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -15,6 +15,14 @@
 from hoplane.adapter import WireError, read_settings
 from hoplane.core.transient_errors import TRANSIENT_READ_FAILURES
 from hoplane.decision.interface import Settings
+from hoplane.raw_settings import (
+    NOT_COMPARED_KEYS,
+    ConfigError,
+    check_known_keys,
+    check_no_key_missing,
+    check_settings,
+    is_number,
+)
 
 # Imported on use, because imports take half of the start-up time and a platform's configuration needs none of
 # these.
@@ -28,6 +36,27 @@
 MAX_BODY_BYTES = 256 * 1024  # limit of the platform's protocol
 BASE_MEMORY = 52 * MEGABYTE  # memory allowance for a process without open requests, which uses 48 MiB
 
+# The sections of a TOML file, and the keys of each that is checked for unknown ones. Others are checked where
+# they are parsed, and the settings may hold keys that this program does not use.
+FILE_KEYS = (
+    "name",
+    "listen",
+    "operator",
+    "seed",
+    "limits",
+    "upstream",
+    "ledger",
+    "xds",
+    "settings",
+    "lease",
+    "shared",
+)
+SECTION_KEYS = {
+    "limits": ("memory_mb", "sockets"),
+    "upstream": ("connect_timeout_ms", "idle_ms"),
+    "ledger": ("ids", "keep_s"),
+    "xds": ("clusters", "endpoints"),
+}
 LEASE_KEYS = (
     "engine",
     "key",
@@ -55,10 +84,6 @@
 )
 
 
-class ConfigError(Exception):
-    """A validation error; the message starts with the key at fault."""
-
-
 class TransientReadError(ConfigError):
     """A file could not be read because of a transient error; reading it again may succeed."""
 
@@ -156,7 +181,7 @@
 
 RELOADABLE_FIELDS = ("discovery", "files", "limits", "settings")  # others take effect at the next start
 # Fields that a reload does not compare: they may differ at each start, and a reload does not use them.
-NOT_COMPARED_FIELDS = ("seed", "known", "inherited", "scratch", "raw")
+NOT_COMPARED_FIELDS = (*NOT_COMPARED_KEYS, "inherited", "scratch", "raw")
 
 
 def load(environ: Mapping[str, str], file: Path | None = None, current: Config | None = None) -> Config:
@@ -206,7 +231,7 @@
 def from_platform(raw: dict) -> Config:
     """Validate the platform's configuration."""
     raw_settings = get_section(raw, "settings", required=True)
-    check_positive_settings(raw_settings, "settings.")
+    check_settings(raw_settings, "settings.")
     allowed = get_section(raw_settings, "allowed", "settings.")
     return Config(
         name=get_text(raw, "name"),
@@ -231,10 +256,13 @@
         raw = tomllib.loads(path.read_text())
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise read_error(path.name, error) from None
+    check_known_keys(raw, FILE_KEYS, "")
     files = get_section(raw, "xds", required=True)
     raw_settings = get_section(raw, "settings", required=True)
-    check_positive_settings(raw_settings, "settings.")
+    check_settings(raw_settings, "settings.")
     upstream, ledger = get_section(raw, "upstream"), get_section(raw, "ledger")
+    for name, known in SECTION_KEYS.items():
+        check_known_keys(get_section(raw, name), known, f"{name}.")
     return Config(
         name=get_text(raw, "name"),
         listen=parse_address(raw, "listen"),
@@ -282,8 +310,7 @@
 
 def parse_members(raw: dict, known: tuple[str, ...], where: str) -> tuple[str, ...]:
     """Return the addresses of the etcd members, after a check that the section has no unknown keys."""
-    if unknown := set(raw) - set(known):
-        raise ConfigError(f"{where}{min(unknown)}: unknown key")
+    check_known_keys(raw, known, where)
     members = raw.get("engine")
     if not isinstance(members, list) or not members:
         raise ConfigError(f"{where}engine: must be a non-empty list of HOST:PORT")
@@ -348,7 +375,7 @@
 def get_number(raw: dict, key: str, default: float, where: str) -> float:
     """Return a number, or the default if the key is absent."""
     value = raw.get(key, default)
-    if not isinstance(value, int | float) or isinstance(value, bool):
+    if not is_number(value):
         raise ConfigError(f"{where}{key}: must be a number")
     return float(value)
 
@@ -367,50 +394,6 @@
         raise ConfigError(f"{where}{error}") from None
 
 
-def check_positive_settings(raw_settings: dict, where: str) -> None:
-    """Check that the times of each class and the number of attempts are positive numbers in the file itself.
-
-    Once flattened to the simulator's wire format, a string or a 0 would pass as a valid value."""
-    lanes = raw_settings.get("lanes")
-    if not isinstance(lanes, list) or not lanes:
-        raise ConfigError(f"{where}lanes: " + ("is missing" if lanes is None else "must be a list"))
-    for index, lane in enumerate(lanes):
-        if not isinstance(lane, dict):
-            raise ConfigError(f"{where}lanes.{index}: must be an object")
-        if "name" in lane and lane["name"] in [each.get("name") for each in lanes[:index]]:
-            raise ConfigError(f"{where}lanes.{index}.name: is used by another class")
-        for key in ("target", "hard_limit"):
-            check_positive(lane, key, f"{where}lanes.{lane.get('name', index)}.")
-    allowed = raw_settings.get("allowed")
-    if isinstance(allowed, dict) and "attempts_cap" in allowed:
-        check_positive(allowed, "attempts_cap", f"{where}allowed.")
-
-
-def check_positive(raw: dict, key: str, where: str) -> None:
-    """Check that a number is present and above 0."""
-    value = raw.get(key)
-    if value is None:
-        raise ConfigError(f"{where}{key}: is missing")
-    if not isinstance(value, int | float) or isinstance(value, bool) or not value > 0:
-        raise ConfigError(f"{where}{key}: must be a number above 0")
-
-
-def check_no_key_missing(old: object, new: object, where: str = "") -> None:
-    """Check that a reloaded file has every key of the active one, at all levels.
-
-    In a truncated or partly written file, the missing keys would otherwise fall back to their defaults."""
-    if not isinstance(old, dict):
-        return
-    if not isinstance(new, dict):
-        raise ConfigError(f"{where.rstrip('.')}: must be an object")
-    for key, value in old.items():
-        if where == "" and key in NOT_COMPARED_FIELDS:
-            continue
-        if key not in new:
-            raise ConfigError(f"{where}{key}: is missing")
-        check_no_key_missing(value, new[key], f"{where}{key}.")
-
-
 def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
     """Flatten nested settings to the names and values of the simulator's wire format."""
     if isinstance(value, dict):
@@ -457,7 +440,7 @@
 def get_integer(raw: dict, key: str, default: int, minimum: int, where: str = "") -> int:
     """Return an integer that is at least `minimum`, or the default if the key is absent."""
     value = raw.get(key, default)
-    if not isinstance(value, int | float) or isinstance(value, bool) or not isfinite(value) or value % 1:
+    if not is_number(value) or not isfinite(value) or value % 1:
         raise ConfigError(f"{where}{key}: must be a whole number")
     if value < minimum:
         raise ConfigError(f"{where}{key}: must be at least {minimum}")
--- a/hoplane/decision/interface.py
+++ b/hoplane/decision/interface.py
@@ -78,7 +78,8 @@
     effect: Idempotency
     worth: float = 1.0  # of an answer in time; not used by the router
     late_worth: float = 0.0  # of a late answer; not used by the router
-    group: Group = Group.ALL  # KEYED only: the servers among which repeats are discarded
+    # KEYED only: the servers among which repeats are discarded; the default permits the fewest repeats.
+    group: Group = Group.CELL
     window: int = 0  # KEYED only: time after the first send for which servers discard repeats, in ns
     aim_per_1000: int = 0  # added to the target TTFT per 1,000 prompt tokens, in ns
     token_aim: int | None = None  # target time per output token, in ns
--- a/hoplane/decision/router.py
+++ b/hoplane/decision/router.py
@@ -10,7 +10,6 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable
-from math import inf
 from statistics import median
 
 from . import interface as api
@@ -734,15 +733,12 @@
         total_delay = (
             sum(stage_delays) + self.reservations.failure_rate(self.now) ** MAX_RESERVATIONS * job.aim
         )
-        tenant = job.request.tenant or ""
-        expected_arrivals = (self.quotas.get(tenant) or inf) * RATE_WINDOW / SECOND / self.settings.routers
         if self.now == job.arrived_at:
             self.congestion.add(min(1.0, total_delay / job.aim), CONGESTION_WEIGHT)
         limit = LATE_SHARE - (LATE_SHARE - CONGESTED_LATE_SHARE) * min(
             1.0, (self.congestion.value or 0) / FULL_CONGESTION
         )
-        # The square root allows for random variation of the arrivals.
-        if self.tenant_arrivals[tenant].count > expected_arrivals + expected_arrivals**0.5:
+        if self.is_over_quota(job.request.tenant or ""):
             limit = min(limit, OVER_QUOTA_LATE_SHARE)
         expected_ttft = self.now - job.arrived_at + total_delay
         job.retry_delay = round(expected_ttft - limit * job.aim)
@@ -752,6 +748,17 @@
         )
         return bool(has_evidence) and expected_ttft > limit * job.aim
 
+    def is_over_quota(self, tenant: str) -> bool:
+        """Return whether a tenant's recent arrivals here exceed this router's part of its quota.
+
+        A quota of 0 is exceeded by any arrival; without a quota there is no limit.
+        """
+        if (quota := self.quotas.get(tenant)) is None:
+            return False
+        expected_arrivals = quota * RATE_WINDOW / SECOND / self.settings.routers
+        # The square root allows for random variation of the arrivals.
+        return self.tenant_arrivals[tenant].count > expected_arrivals + expected_arrivals**0.5
+
     def no_server_in_time(self, job: Job) -> bool:
         """Return whether some remaining stage has no server available before the request would be late.
 
--- a/hoplane/tool.py
+++ b/hoplane/tool.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 from hoplane import config as configuration
-from hoplane.config import ConfigError
+from hoplane.config import Config, ConfigError
+from hoplane.raw_settings import unset_limits
 from hoplane.xds import XdsError, read_clusters, read_endpoints
 
 TYPE_URL_PREFIX = "type.googleapis.com/envoy.config."
@@ -86,9 +87,8 @@
     return list(paths)
 
 
-def check(file: Path) -> str:
-    """Validate a configuration file and the endpoint files it names; return the endpoint counts as text."""
-    config = configuration.from_file(file)
+def check(config: Config) -> str:
+    """Validate the endpoint files that a configuration names; return the endpoint counts as text."""
     path = config.files[0]
     try:
         clusters = read_clusters(path.read_bytes())
@@ -125,7 +125,10 @@
             for path in init(options.folder, options.name, options.listen, options.endpoint, options.once):
                 print(path)
         else:
-            print(f"{options.file}: valid ({check(options.file)})")
+            config = configuration.from_file(options.file)
+            print(f"{options.file}: valid ({check(config)})")
+            for key in unset_limits(config.raw["settings"]):
+                print(f"settings.{key}: not set; its default permits the most")
     except ConfigError as error:
         print(error, file=sys.stderr)
         return 2
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -95,6 +95,7 @@
             deadline=4 * 10**9,
             effect=api.Idempotency.SAFE,
             worth=2.0,
+            group=api.Group.ALL,
             window=5 * 10**9,
             aim_per_1000=40_000_000,
             token_aim=60_000_000,
