Judge a v2 response whole by its binary tensors, not by its JSON part

Cause: `BufferedSink.is_complete` parsed the JSON part and never compared its `binary_data_size` with what arrived. Evidence: an answer cut within the JSON part fails, one cut anywhere behind it passes, with a length a break is seen.

Change: `fronts/inference_message.py` (with the parsing of the JSON part, moved out of kserve.py) requires the bytes that the JSON part tells of; without framing exactly these. Same class: metadata without framing was passed on unchecked; any Transfer-Encoding counted as framing, now only chunked; framed 4xx answers were judged by their body although README passes them on; the load report of a probe could be cut to another number.

--- a/hoplane/fronts/kserve.py
+++ b/hoplane/fronts/kserve.py
@@ -17,6 +17,7 @@
 from hoplane.core.events import EndpointsUpdated, Forward, RequestReceived, SettingsReloaded
 from hoplane.core.invariants import Violation
 from hoplane.decision.interface import ClassSettings, Idempotency, Role, Settings, State, Status
+from hoplane.fronts.inference_message import JSON_LENGTH_HEADER, is_complete_response, parse_json_part
 from hoplane.net.interface import Call, HeadOutcome
 from hoplane.net.pool import Pool
 from hoplane.net.runtime import Runtime
@@ -24,7 +25,6 @@
 
 MODEL_PATH = re.compile(r"/v2/models/([^/]+)(?:/versions/[^/]+)?(/ready|/infer)?")
 LIVENESS_PATH = "/v2/health/live"
-JSON_LENGTH_HEADER = "Inference-Header-Content-Length"  # bytes of JSON in a body, if binary tensors follow it
 FORWARDED_HEADERS = ("Content-Type", JSON_LENGTH_HEADER)
 UNPROCESSED_HEADER = "X-Unprocessed"  # as in the platform protocol; v2 itself defines no such header
 # Errors of the request itself, which any other endpoint would return too, except for the transient ones.
@@ -55,17 +55,6 @@
     return web.Response(status=status, body=orjson.dumps(value), content_type="application/json")
 
 
-def parse_json_part(headers: Mapping[str, str], body: bytes) -> object:
-    """Parse the JSON part of a body, which binary data may follow. Raises ValueError if it is malformed."""
-    json_length = headers.get(JSON_LENGTH_HEADER, str(len(body)))
-    if not (json_length.isascii() and json_length.isdecimal()) or int(json_length) > len(body):
-        raise ValueError(f"{JSON_LENGTH_HEADER}: must be at most the body's length")
-    document = orjson.loads(body[: int(json_length)])
-    if not isinstance(document, dict):
-        raise ValueError("the body must be a JSON object")
-    return document
-
-
 def get_parameter(parameters: dict, name: str, kind: type, default: object) -> object:
     """Return a parameter of the request. Raises ValueError if its type or range is wrong."""
     value = parameters.get(name, default)
@@ -133,15 +122,14 @@
         self.done: asyncio.Future = asyncio.get_running_loop().create_future()
         self.status, self.headers, self.data = 200, {}, b""
 
-    def is_complete(self, data: bytes) -> bool:
-        """Return whether the JSON part of a response is complete.
+    def is_complete(self, data: bytes, framed: bool) -> bool:
+        """Return whether a response is complete.
 
-        A response without a length ends when its connection closes, so it may be truncated."""
-        try:
-            parse_json_part(self.headers, data)
-        except ValueError:
-            return False
-        return True
+        One that HTTP does not frame ends with its connection, so it may be truncated. An error that is framed
+        need not have a body of the protocol."""
+        if framed and self.status in REQUEST_ERROR_STATUSES:
+            return True
+        return is_complete_response(self.headers, data, framed=framed)
 
     async def start(self) -> None:
         pass
@@ -282,12 +270,15 @@
         )
 
     async def metadata(self, runtime: Runtime, path: str) -> web.Response:
-        """Relay the model's metadata from the first endpoint that answers."""
+        """Relay the model's metadata from the first endpoint that answers completely."""
         for endpoint in list(runtime.state.fleet.values()):
             if endpoint.state is not State.LIVE:
                 continue
-            if response := await self.pool.get(endpoint.address, path, METADATA_TIMEOUT):
-                return web.Response(status=response[0], body=response[1], content_type="application/json")
+            response = await self.pool.get(endpoint.address, path, METADATA_TIMEOUT)
+            if response and (response.framed or is_complete_response({}, response.body, framed=False)):
+                return web.Response(
+                    status=response.status, body=response.body, content_type="application/json"
+                )
         return error_response(503, "no endpoint tells of this model", self.refusal_retry_after)
 
     async def infer(self, runtime: Runtime, request: web.BaseRequest) -> web.StreamResponse:
--- a/hoplane/net/interface.py
+++ b/hoplane/net/interface.py
@@ -40,8 +40,11 @@
     buffered: bool  # the response is passed on as one event, once its last byte has arrived
     done: asyncio.Future  # set with the final response
 
-    def is_complete(self, data: bytes) -> bool:
-        """Return whether a buffered response was received to its end."""
+    def is_complete(self, data: bytes, framed: bool) -> bool:
+        """Return whether a buffered response was received to its end.
+
+        `framed`: HTTP shows where it ends; otherwise it ends with its connection, which may have broken.
+        """
         ...
 
     def reset(self) -> None:
--- a/hoplane/net/pool.py
+++ b/hoplane/net/pool.py
@@ -8,6 +8,7 @@
 import struct
 from collections.abc import AsyncIterator, Callable, Mapping
 from contextlib import suppress
+from dataclasses import dataclass
 from datetime import timedelta
 from weakref import WeakSet
 
@@ -34,6 +35,25 @@
     return isinstance(error, aiohttp.ClientConnectorError) and error.os_error.errno in LOCAL_FAILURES
 
 
+def has_framing(response: aiohttp.ClientResponse) -> bool:
+    """Return whether a response's framing shows its end, so that a truncated one can be detected.
+
+    A transfer encoding does so only if chunked is the last one; otherwise the body ends with its connection.
+    """
+    if encodings := response.headers.get("Transfer-Encoding"):
+        return encodings.rpartition(",")[2].strip().lower() == "chunked"
+    return "Content-Length" in response.headers
+
+
+@dataclass(slots=True, frozen=True)
+class ShortResponse:
+    """A response that was read as a whole; `framed` as in `has_framing`."""
+
+    status: int
+    body: bytes
+    framed: bool
+
+
 class SendDeniedError(aiohttp.ClientConnectionError):
     """A call that was withheld as it was about to be sent; see `SendGate`."""
 
@@ -192,12 +212,12 @@
         url = URL(f"http://{address}{path}", encoded=True)
         return self.session.request(method, url, allow_redirects=False, trace_request_ctx=gate, **more)
 
-    async def get(self, address: str, path: str, time_limit: timedelta) -> tuple[int, bytes] | None:
-        """Fetch a short text; return the response's status and body, or None if there was no response."""
+    async def get(self, address: str, path: str, time_limit: timedelta) -> ShortResponse | None:
+        """Fetch a short text; return None if there was no response, or one that broke off in its framing."""
         try:
             async with asyncio.timeout(time_limit.total_seconds()):
                 async with self.request("GET", address, path) as response:
-                    return response.status, await response.read()
+                    return ShortResponse(response.status, await response.read(), has_framing(response))
         except (aiohttp.ClientError, TimeoutError, OSError):
             return None
 
--- a/hoplane/net/relay.py
+++ b/hoplane/net/relay.py
@@ -15,6 +15,7 @@
 from hoplane.decision.interface import Status
 from hoplane.net.aiohttp_internals import MalformedResponseError
 from hoplane.net.interface import Exchange, Sink
+from hoplane.net.pool import has_framing
 from hoplane.net.server import MemoryBudget
 
 MAX_SHORT_RESPONSE_BYTES = 64 * 1024  # read of a response that is not a stream
@@ -23,11 +24,6 @@
 EVENT_TIMEOUT = timedelta(seconds=4.8)  # without an event: clients give up after 5 s
 
 
-def has_framing(response: aiohttp.ClientResponse) -> bool:
-    """Return whether a response's framing shows its end, so that a truncated one can be detected."""
-    return "Transfer-Encoding" in response.headers or "Content-Length" in response.headers
-
-
 def log_malformed(effect: ev.Forward, error: Exception) -> Status:
     """Log a malformed response: the endpoint is up, and the request may have run."""
     log.write_event_limited(
@@ -124,7 +120,7 @@
             return RelayResult(Status.RESET)
         if data is None:
             return RelayResult(Status.ERROR)
-        if not sink.is_complete(data):
+        if not sink.is_complete(data, has_framing(response)):
             return RelayResult(Status.RESET)
         if not self.start_response(effect):
             return RelayResult(Status.CANCELLED)
--- a/hoplane/net/runtime.py
+++ b/hoplane/net/runtime.py
@@ -26,7 +26,7 @@
 from hoplane.net.aiohttp_internals import MalformedResponseError, StaleConnectionError
 from hoplane.net.clock import Clock
 from hoplane.net.interface import Exchange
-from hoplane.net.pool import Pool, SendDeniedError, SendGate, is_local_failure
+from hoplane.net.pool import Pool, SendDeniedError, SendGate, has_framing, is_local_failure
 from hoplane.net.relay import Relay, log_malformed, read_short_response
 from hoplane.net.releases import Releases
 from hoplane.net.server import MemoryBudget
@@ -467,7 +467,8 @@
                 async with self.pool.request("GET", effect.endpoint.address, self.probe_path) as response:
                     body = await read_short_response(response)
                     status = Status.OK if response.status == 200 else Status.ERROR
-                    load = self.parse_load_report(body or b"")
+                    # The last value of a report that broke off would be read as another number.
+                    load = self.parse_load_report(body if body and has_framing(response) else b"")
         except TimeoutError:
             status = Status.TIMEOUT
         except aiohttp.ClientConnectorError as error:
