Find unset limits in the flattened settings instead of a second walk

`unset_limits` walked the nested settings by itself, although `flatten` gives each of them by its dotted name. flatten moves from config.py to raw_settings.py, where both use it. Behaviour is the same but for one case: a limit that is given as an object, which the conversion ignores, is listed as not set now.

--- a/hoplane/config.py
+++ b/hoplane/config.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from datetime import timedelta
@@ -21,6 +21,7 @@
     check_known_keys,
     check_no_key_missing,
     check_settings,
+    flatten,
     is_number,
 )
 
@@ -394,23 +395,6 @@
         raise ConfigError(f"{where}{error}") from None
 
 
-def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
-    """Flatten nested settings to the names and values of the simulator's wire format."""
-    if isinstance(value, dict):
-        for key, each in value.items():
-            yield from flatten(each, f"{path}.{key}" if path else key)
-    elif isinstance(value, list) and value and all(isinstance(each, dict) for each in value):
-        yield f"{path}.count", str(len(value))
-        for index, each in enumerate(value):
-            yield from flatten(each, f"{path}.{index}")
-    elif isinstance(value, list):
-        yield path, ",".join(map(str, value))
-    elif isinstance(value, bool):
-        yield path, "1" if value else "0"
-    elif value is not None:
-        yield path, str(value)
-
-
 def parse_limits(raw: dict) -> Limits:
     """Validate the [limits] section."""
     return Limits(
--- a/hoplane/raw_settings.py
+++ b/hoplane/raw_settings.py
@@ -5,17 +5,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 # Keys that a reload does not compare: they may differ at each start, and a reload does not use them.
 NOT_COMPARED_KEYS = ("seed", "known")
 # Settings that limit nothing while they are not set. They may be absent: not every deployment has them.
 OPTIONAL_LIMITS = (
-    ("balancers",),
-    ("allowed", "attempts_cap"),
-    ("rules", "cold"),
-    ("rules", "cold_share"),
-    ("rules", "overload_factor"),
+    "balancers",
+    "allowed.attempts_cap",
+    "rules.cold",
+    "rules.cold_share",
+    "rules.overload_factor",
 )
 
 
@@ -137,15 +137,27 @@
             check_object_complete(old_items[name], item, f"{where}{name}.")
 
 
+def flatten(value: object, path: str = "") -> Iterator[tuple[str, str]]:
+    """Flatten nested settings to the names and values of the simulator's wire format."""
+    if isinstance(value, dict):
+        for key, each in value.items():
+            yield from flatten(each, f"{path}.{key}" if path else key)
+    elif isinstance(value, list) and value and all(isinstance(each, dict) for each in value):
+        yield f"{path}.count", str(len(value))
+        for index, each in enumerate(value):
+            yield from flatten(each, f"{path}.{index}")
+    elif isinstance(value, list):
+        yield path, ",".join(map(str, value))
+    elif isinstance(value, bool):
+        yield path, "1" if value else "0"
+    elif value is not None:
+        yield path, str(value)
+
+
 def unset_limits(raw_settings: dict) -> list[str]:
     """Return the limits that the settings leave unset, by key; each of them then limits nothing."""
-    unset = []
-    for path in OPTIONAL_LIMITS:
-        value: object = raw_settings
-        for key in path:
-            value = value.get(key) if isinstance(value, dict) else None
-        if is_empty(value):
-            unset.append(".".join(path))
+    fields = dict(flatten(raw_settings))
+    unset = [key for key in OPTIONAL_LIMITS if not fields.get(key)]
     tenants = raw_settings.get("projects") or ()
     without_quota = (tenant for tenant in tenants if is_empty(tenant.get("quota_per_s")))
     return [*unset, *(f"projects.{tenant.get('name')}.quota_per_s" for tenant in without_quota)]
