Share the keyed class and the step to a repeat between tests

Two test files of this change had a class with the idempotency token each, and one repeated the step to a second attempt at a writer that test_reducer has: now standins.KEYED_LANE, ReducerHarness.fail_first_write and the existing to_ns. The assertions are unchanged.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -190,6 +190,18 @@
 }
 
 
+# A class whose repeats endpoints discard: within a zone, for 2.5 s.
+KEYED_LANE = {
+    "name": "record",
+    "target": 2_500_000_000,
+    "hard_limit": 9_000_000_000,
+    "idempotency": "token",
+    "group": "zone",
+    "window": 2_500_000_000,
+    "worth": 2.0,
+}
+
+
 class Program:
     """A conductor process, with its log."""
 
--- a/tests/test_permissive_defaults.py
+++ b/tests/test_permissive_defaults.py
@@ -5,7 +5,7 @@
 
 import pytest
 from conftest import Harness
-from standins import SETTINGS
+from standins import KEYED_LANE, SETTINGS
 from test_operator import call, operator_address
 from test_platform import run, running_conductor
 
@@ -14,17 +14,8 @@
 from hoplane.config import ConfigError, flatten, from_platform, load
 from hoplane.decision import interface as api
 
-LANE = {
-    "name": "record",
-    "target": 2_500_000_000,
-    "hard_limit": 9_000_000_000,
-    "idempotency": "token",
-    "group": "zone",
-    "window": 2_500_000_000,
-    "worth": 2.0,
-}
 TENANTS = [{"name": name, "share": 0.5, "quota_per_s": 3.0} for name in ("a", "b")]
-KEYED_SETTINGS = {**SETTINGS, "lanes": [*SETTINGS["lanes"], LANE], "projects": TENANTS}
+KEYED_SETTINGS = {**SETTINGS, "lanes": [*SETTINGS["lanes"], KEYED_LANE], "projects": TENANTS}
 CONFIG = {
     "name": "n",
     "listen": "127.0.0.1:1",
@@ -95,7 +86,7 @@
 
 
 def replace_classes(settings):
-    settings["lanes"] = [{**LANE, "name": "fresh", "group": "all"}, settings["lanes"][0]]
+    settings["lanes"] = [{**KEYED_LANE, "name": "fresh", "group": "all"}, settings["lanes"][0]]
     del settings["projects"][0]
 
 
@@ -132,7 +123,7 @@
 
 
 def test_group_that_the_simulator_does_not_send_is_the_narrowest():
-    lanes = [{key: value for key, value in LANE.items() if key != "group"}]
+    lanes = [{key: value for key, value in KEYED_LANE.items() if key != "group"}]
     (record,) = read_settings(dict(flatten({**SETTINGS, "lanes": lanes}))).classes
     assert record.group is api.Group.CELL and not record.safe_to_refuse
 
--- a/tests/test_reducer.py
+++ b/tests/test_reducer.py
@@ -82,6 +82,18 @@
         (forward,) = self.effects_of(ev.Forward)
         return forward
 
+    def fail_first_write(self, status, id="q"):
+        """Fail the first attempt at a writer and return the next one, which a read may precede."""
+        self.apply(ev.AttemptEnded(id, 1, status), 20 * MS)
+        (retry,) = self.effects_of(ev.Forward)
+        if not retry.is_read:
+            return retry
+        for reservation in self.effects_of(ev.Reserve):  # the read state was lost with the writer
+            self.apply(ev.ReservationFinished(id, reservation.attempt, None))
+        self.apply(ev.AttemptEnded(id, 2, Status.MISS), 10 * MS)
+        (retry,) = self.effects_of(ev.Forward)
+        return retry
+
 
 @pytest.fixture
 def harness():
@@ -218,13 +230,7 @@
     harness.submit(cls="keyed")
     first = harness.finish_read()
     sent = harness.now
-    harness.apply(ev.AttemptEnded("q", 1, status), 20 * MS)
-    (retry,) = harness.effects_of(ev.Forward)
-    if retry.is_read:  # the read state was lost with the writer
-        for reservation in harness.effects_of(ev.Reserve):
-            harness.apply(ev.ReservationFinished("q", reservation.attempt, None))
-        harness.apply(ev.AttemptEnded("q", 2, Status.MISS), 10 * MS)
-        (retry,) = harness.effects_of(ev.Forward)
+    retry = harness.fail_first_write(status)
     assert first.repeat_until is None and not retry.is_read
     assert retry.repeat_until == (sent + 300 * MS if status is Status.RESET else None)
 
--- a/tests/test_repeat_windows.py
+++ b/tests/test_repeat_windows.py
@@ -7,7 +7,7 @@
 
 import pytest
 from conftest import FLEET, S, entry
-from standins import SETTINGS, Server, chat, message, platform, within
+from standins import KEYED_LANE, SETTINGS, Server, chat, message, platform, within
 from standins import entry as listed
 from test_hard_rules import keyed_request
 from test_platform import complete_read, stream_response
@@ -15,25 +15,18 @@
 
 from hoplane.core import events as ev
 from hoplane.core.permits import Denial
+from hoplane.core.time_conversion import to_ns
 from hoplane.core.timers import AttemptTimer
 from hoplane.decision import interface as api
 from hoplane.decision.interface import Group, Status
 from hoplane.lab.partition import PartitionProxy
 
 WINDOW = timedelta(seconds=1)
-WINDOW_NS = WINDOW // timedelta.resolution * 1000
 FAILURE = message("HTTP/1.1 500 Internal Server Error")
 
 
 def keyed_settings(group):
-    lane = {
-        "name": "record",
-        "target": 2_500_000_000,
-        "hard_limit": 9_000_000_000,
-        "idempotency": "token",
-        "group": group,
-        "window": WINDOW_NS,
-    }
+    lane = {**KEYED_LANE, "group": group, "window": to_ns(WINDOW)}
     return {**SETTINGS, "lanes": [*SETTINGS["lanes"], lane]}
 
 
@@ -102,22 +95,8 @@
     asyncio.run(within(test(), 30))
 
 
-def repeat(harness):
-    """Fail the first attempt at a writer and return the repeat, with the effects that came with it."""
-    harness.submit(cls="keyed")
-    harness.finish_read()
-    harness.apply(ev.AttemptEnded("q", 1, Status.RESET), timedelta(milliseconds=20))
-    (forward,) = harness.effects_of(ev.Forward)
-    if forward.is_read:  # the read state was lost with the writer
-        for reservation in harness.effects_of(ev.Reserve):
-            harness.apply(ev.ReservationFinished("q", reservation.attempt, None))
-        harness.apply(ev.AttemptEnded("q", forward.attempt, Status.MISS), timedelta(milliseconds=10))
-        (forward,) = harness.effects_of(ev.Forward)
-    return forward
-
-
 def keyed_reducer():
-    cls = api.ClassSettings("keyed", S, 4 * S, api.Idempotency.KEYED, group=Group.ZONE, window=WINDOW_NS)
+    cls = api.ClassSettings("keyed", S, 4 * S, api.Idempotency.KEYED, group=Group.ZONE, window=to_ns(WINDOW))
     return ReducerHarness(classes=(cls,))
 
 
@@ -125,7 +104,9 @@
 def test_unanswered_repeat_is_recalled_at_the_end_of_its_window(response_started):
     # Guards against a window that is checked as bytes are sent, and never again.
     harness = keyed_reducer()
-    forward = repeat(harness)
+    harness.submit(cls="keyed")
+    harness.finish_read()
+    forward = harness.fail_first_write(Status.RESET)
     (timer,) = (each for each in harness.effects_of(ev.SetTimer) if isinstance(each.timer, AttemptTimer))
     assert timer.at == forward.repeat_until and forward.time_left == forward.repeat_until - harness.now
     if response_started:
@@ -142,7 +123,9 @@
 def test_repeat_is_not_sent_to_an_endpoint_that_has_left_the_group_since_it_was_chosen(change):
     # Guards against a group that is checked as the endpoint is chosen, and not as the bytes are sent.
     harness = keyed_reducer()
-    forward = repeat(harness)
+    harness.submit(cls="keyed")
+    harness.finish_read()
+    forward = harness.fail_first_write(Status.RESET)
     limits = harness.now, False, harness.now + forward.time_left
     assert harness.state.send_denial(forward, *limits) is None
     harness.apply(ev.EndpointsUpdated((replace(forward.endpoint, **change),), complete=False))
